--- /dev/null
+++ b/Makefile
@@ -0,0 +1,52 @@
+# Targets are all that a contributor must know; see CONTRIBUTING.md.
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+PACKAGES = base nodes control endpoints routing groups callers operators \
+	platform daemon cli fakes
+EDITABLE = $(foreach package,$(PACKAGES),-e packages/$(package))
+SOURCES = packages tests bench demo
+
+.PHONY: help install demo run test lint format bench clean
+
+help:
+	@echo "make demo    install, start three nodes and serve real requests"
+	@echo "make run     start the demo system and leave it running"
+	@echo "make test    install and run the tests"
+	@echo "make lint    check format and style"
+	@echo "make format  rewrite the sources in the project's format"
+	@echo "make bench   measure against the naive versions"
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: constraints.txt requirements.txt packages/*/pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --disable-pip-version-check \
+		-c constraints.txt setuptools wheel
+	$(BIN)/pip install -q --disable-pip-version-check \
+		-c constraints.txt -r requirements.txt
+	$(BIN)/pip install -q --disable-pip-version-check \
+		--no-build-isolation -c constraints.txt $(EDITABLE)
+	touch $@
+
+demo: install
+	$(BIN)/python -m demo
+
+run: install
+	$(BIN)/python -m demo --keep-running
+
+test: install
+	$(BIN)/python -m pytest -q
+
+lint: install
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
+
+format: install
+	$(BIN)/ruff format $(SOURCES)
+
+bench: install
+	$(BIN)/python -m bench
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/packages/base/src/apricotthread/base/__init__.py
@@ -0,0 +1,1 @@
+"""Settings, errors, logs, timers and metrics shared by every part."""
--- /dev/null
+++ b/packages/base/src/apricotthread/base/environment.py
@@ -0,0 +1,34 @@
+"""The surroundings handed down to every part in place of globals."""
+
+import dataclasses
+import random
+import uuid
+
+from apricotthread.base import metrics
+from apricotthread.base import timers
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Environment:
+    """Time, randomness and metrics of one process."""
+
+    timer: timers.TimerService
+    random: random.Random
+    metrics: metrics.Metrics
+
+    def new_id(self) -> str:
+        """Return a fresh 128-bit identifier as 32 hexadecimal digits."""
+        return uuid.UUID(int=self.random.getrandbits(128), version=4).hex
+
+    def jitter(self, seconds: float) -> float:
+        """Return a duration between half of the seconds and all of them."""
+        return seconds * (0.5 + self.random.random() / 2)
+
+
+def make_environment() -> Environment:
+    """Return the environment of a real process."""
+    return Environment(
+        timer=timers.TimerService(),
+        random=random.SystemRandom(),
+        metrics=metrics.Metrics(),
+    )
--- /dev/null
+++ b/packages/base/src/apricotthread/base/settings.py
@@ -0,0 +1,449 @@
+"""Settings of a node: an INI file, checked as a whole."""
+
+import configparser
+import dataclasses
+import enum
+import ipaddress
+import pathlib
+import typing
+
+from apricotthread.base import errors
+from apricotthread.base import units
+
+ROLE_NAMES = ('entry', 'control')
+MAX_PORT = 65535
+FORBIDDEN_IN_NAME = set(' \t/,:;"\'')
+
+
+class Role(enum.Enum):
+    """What a node does."""
+
+    ENTRY = 'entry'
+    CONTROL = 'control'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SettingFault:
+    """One wrong line of a settings file."""
+
+    file: str
+    section: str
+    key: str
+    value: str
+    allowed: str
+
+    def __str__(self) -> str:
+        return (
+            f'{self.file}: [{self.section}] {self.key} = {self.value!r}: '
+            f'allowed is {self.allowed}'
+        )
+
+
+class SettingsError(errors.ApricotError):
+    """Every fault of a settings file at once."""
+
+    def __init__(self, *, faults: list[SettingFault]) -> None:
+        super().__init__(
+            code=errors.ErrorCode.SETTINGS,
+            message='\n'.join(str(fault) for fault in faults),
+        )
+        self.faults = faults
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NodeAddress:
+    """One node of the system as the settings name it."""
+
+    node_id: str
+    data_centre: str
+    host: str
+    peer_port: int
+    roles: frozenset[Role]
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether the node votes on agreed state."""
+        return Role.CONTROL in self.roles
+
+    @property
+    def is_entry(self) -> bool:
+        """Whether the node takes requests."""
+        return Role.ENTRY in self.roles
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Settings:
+    """The checked settings of one node."""
+
+    node_id: str
+    data_centre: str
+    data_folder: str
+    listen_host: str
+    caller_port: int
+    endpoint_port: int
+    operator_port: int
+    node_by_id: dict[str, NodeAddress]
+    log_file: str = '-'
+    max_body_bytes: int = 4 * units.MIB
+    max_header_bytes: int = 32 * units.KIB
+    max_frame_bytes: int = 8 * units.MIB
+    queue_length: int = 256
+    queue_wait_s: float = 10.0
+    request_timeout_s: float = 120.0
+    answer_buffer_bytes: int = 64 * units.KIB
+    node_buffer_bytes: int = 64 * units.MIB
+    socket_buffer_bytes: int = 32 * units.KIB
+    stall_s: float = 5.0
+    drain_s: float = 600.0
+    ready_grace_s: float = 2.0
+    heartbeat_s: float = 0.5
+    lease_s: float = 2.0
+    endpoint_lease_s: float = 3.0
+    claim_retention_s: float = 86400.0
+
+    @property
+    def own(self) -> NodeAddress:
+        """The node's own row among the nodes."""
+        return self.node_by_id[self.node_id]
+
+
+def parse_size(text: str) -> int:
+    """Parse a size in bytes, with an optional K or M for binary units."""
+    factor = {'K': units.KIB, 'M': units.MIB}.get(text[-1:].upper(), 1)
+    digits = text[:-1] if factor > 1 else text
+    size = int(digits) * factor
+    if size <= 0:
+        raise ValueError(text)
+    return size
+
+
+def parse_seconds(text: str) -> float:
+    """Parse a positive, finite number of seconds."""
+    seconds = float(text)
+    if not 0 < seconds < float('inf'):
+        raise ValueError(text)
+    return seconds
+
+
+def parse_count(text: str) -> int:
+    """Parse a whole number of at least 1."""
+    count = int(text)
+    if count < 1:
+        raise ValueError(text)
+    return count
+
+
+def parse_port(text: str) -> int:
+    """Parse a TCP port."""
+    port = int(text)
+    if not 0 < port <= MAX_PORT:
+        raise ValueError(text)
+    return port
+
+
+def parse_host(text: str) -> str:
+    """Parse an IP number."""
+    return str(ipaddress.ip_address(text))
+
+
+def parse_name(text: str) -> str:
+    """Parse a name without blanks, commas, colons, quotes or slashes."""
+    if not text.isprintable() or not text or FORBIDDEN_IN_NAME & set(text):
+        raise ValueError(text)
+    return text
+
+
+def parse_path(text: str) -> str:
+    """Parse the path of a file or folder, empty for none."""
+    if '\0' in text:
+        raise ValueError(text)
+    return text
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SettingKey:
+    """One key of the settings file: where it goes and what it may be."""
+
+    section: str
+    key: str
+    field: str
+    parse: typing.Callable[[str], typing.Any]
+    allowed: str
+    required: bool = False
+
+
+NAME = 'a name without blanks, commas, colons, quotes or slashes'
+PORT = 'a port from 1 to 65535'
+SIZE = 'a size above 0 in bytes, or with K or M'
+SECONDS = 'a number of seconds above 0'
+COUNT = 'a whole number above 0'
+
+KEYS = (
+    SettingKey(
+        section='node',
+        key='id',
+        field='node_id',
+        parse=parse_name,
+        allowed=NAME,
+        required=True,
+    ),
+    SettingKey(
+        section='node',
+        key='data_centre',
+        field='data_centre',
+        parse=parse_name,
+        allowed=NAME,
+        required=True,
+    ),
+    SettingKey(
+        section='node',
+        key='data_folder',
+        field='data_folder',
+        parse=parse_path,
+        allowed='a folder; required for the control role, else empty',
+    ),
+    SettingKey(
+        section='listen',
+        key='host',
+        field='listen_host',
+        parse=parse_host,
+        allowed='an IP number',
+        required=True,
+    ),
+    *(
+        SettingKey(
+            section='listen',
+            key=key,
+            field=key,
+            parse=parse_port,
+            allowed=PORT,
+            required=True,
+        )
+        for key in ('caller_port', 'endpoint_port', 'operator_port')
+    ),
+    SettingKey(
+        section='log',
+        key='file',
+        field='log_file',
+        parse=parse_path,
+        allowed="a file, or '-' for standard error",
+    ),
+    *(
+        SettingKey(
+            section='limits',
+            key=key,
+            field=key,
+            parse=parse_size,
+            allowed=SIZE,
+        )
+        for key in (
+            'max_body_bytes',
+            'max_header_bytes',
+            'max_frame_bytes',
+            'answer_buffer_bytes',
+            'node_buffer_bytes',
+            'socket_buffer_bytes',
+        )
+    ),
+    SettingKey(
+        section='limits',
+        key='queue_length',
+        field='queue_length',
+        parse=parse_count,
+        allowed=COUNT,
+    ),
+    *(
+        SettingKey(
+            section='timing',
+            key=key,
+            field=key,
+            parse=parse_seconds,
+            allowed=SECONDS,
+        )
+        for key in (
+            'queue_wait_s',
+            'request_timeout_s',
+            'stall_s',
+            'drain_s',
+            'ready_grace_s',
+            'heartbeat_s',
+            'lease_s',
+            'endpoint_lease_s',
+            'claim_retention_s',
+        )
+    ),
+)
+KEY_BY_PLACE = {(key.section, key.key): key for key in KEYS}
+SECTIONS = sorted({key.section for key in KEYS} | {'nodes'})
+NODE_ALLOWED = (
+    "'DATA_CENTRE IP:PORT ROLES', with roles entry, control or both "
+    'joined by a comma'
+)
+
+
+def parse_node(node_id: str, text: str) -> NodeAddress:
+    """Parse one row of the nodes section."""
+    data_centre, address, roles = text.split()
+    host, _, port = address.rpartition(':')
+    return NodeAddress(
+        node_id=parse_name(node_id),
+        data_centre=parse_name(data_centre),
+        host=parse_host(host.strip('[]')),
+        peer_port=parse_port(port),
+        roles=frozenset(Role(role) for role in roles.split(',')),
+    )
+
+
+def parse_settings(text: str, *, file: str) -> Settings:
+    """Parse and check the text of a settings file.
+
+    Raises SettingsError with every fault found.
+    """
+    parser = configparser.ConfigParser(interpolation=None, strict=True)
+    parser.optionxform = str
+    try:
+        parser.read_string(text, source=file)
+    except (configparser.Error, UnicodeError) as error:
+        raise SettingsError(
+            faults=[
+                SettingFault(
+                    file=file,
+                    section='-',
+                    key='-',
+                    value=str(error).splitlines()[0],
+                    allowed='sections, and lines of the form key = value',
+                )
+            ]
+        ) from None
+    faults: list[SettingFault] = []
+    value_by_field: dict[str, typing.Any] = {}
+    node_by_id: dict[str, NodeAddress] = {}
+
+    def add_fault(section: str, key: str, value: str, allowed: str) -> None:
+        faults.append(
+            SettingFault(
+                file=file,
+                section=section,
+                key=key,
+                value=value,
+                allowed=allowed,
+            )
+        )
+
+    for key in parser.defaults():
+        add_fault('DEFAULT', key, '', 'no DEFAULT section')
+    for section in parser.sections():
+        if section not in SECTIONS:
+            add_fault(section, '-', '', f'one of {", ".join(SECTIONS)}')
+            continue
+        for key, value in parser.items(section):
+            if section == 'nodes':
+                try:
+                    node_by_id[key] = parse_node(key, value)
+                except ValueError:
+                    add_fault(section, key, value, NODE_ALLOWED)
+                continue
+            known = KEY_BY_PLACE.get((section, key))
+            if known is None:
+                allowed = [k.key for k in KEYS if k.section == section]
+                add_fault(section, key, value, f'one of {allowed}')
+                continue
+            try:
+                value_by_field[known.field] = known.parse(value)
+            except ValueError:
+                add_fault(section, key, value, known.allowed)
+    for key in KEYS:
+        if key.required and not parser.has_option(key.section, key.key):
+            add_fault(key.section, key.key, '', key.allowed)
+    faults.extend(_check_together(value_by_field, node_by_id, file))
+    if faults:
+        raise SettingsError(faults=faults)
+    value_by_field.setdefault('data_folder', '')
+    return Settings(node_by_id=node_by_id, **value_by_field)
+
+
+def _check_together(
+    value_by_field: dict[str, typing.Any],
+    node_by_id: dict[str, NodeAddress],
+    file: str,
+) -> list[SettingFault]:
+    """Return the faults that only several keys together show."""
+    faults = []
+    node_id = value_by_field.get('node_id', '')
+    own = node_by_id.get(node_id)
+    if node_id and own is None:
+        faults.append(
+            SettingFault(
+                file=file,
+                section='nodes',
+                key=node_id,
+                value='',
+                allowed=f'a row for this node: {NODE_ALLOWED}',
+            )
+        )
+    data_centre = value_by_field.get('data_centre', '')
+    if own is not None and data_centre and own.data_centre != data_centre:
+        faults.append(
+            SettingFault(
+                file=file,
+                section='node',
+                key='data_centre',
+                value=data_centre,
+                allowed=f'{own.data_centre}, as the row in [nodes] says',
+            )
+        )
+    folder = value_by_field.get('data_folder', '')
+    if own is not None and own.is_voter and not folder:
+        faults.append(
+            SettingFault(
+                file=file,
+                section='node',
+                key='data_folder',
+                value=folder,
+                allowed='a folder on a disk, since the node has the control '
+                'role',
+            )
+        )
+    voters = [node for node in node_by_id.values() if node.is_voter]
+    if node_by_id and len(voters) % 2 == 0:
+        faults.append(
+            SettingFault(
+                file=file,
+                section='nodes',
+                key='-',
+                value=', '.join(node.node_id for node in voters),
+                allowed='an odd number of nodes with the control role',
+            )
+        )
+    heartbeat_s = value_by_field.get('heartbeat_s', Settings.heartbeat_s)
+    lease_s = value_by_field.get('lease_s', Settings.lease_s)
+    if lease_s < 3 * heartbeat_s:
+        faults.append(
+            SettingFault(
+                file=file,
+                section='timing',
+                key='lease_s',
+                value=str(lease_s),
+                allowed=f'at least 3 x heartbeat_s = {3 * heartbeat_s}',
+            )
+        )
+    return faults
+
+
+def read_settings(path: str) -> Settings:
+    """Read and check a settings file."""
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeError, ValueError) as error:
+        raise SettingsError(
+            faults=[
+                SettingFault(
+                    file=path,
+                    section='-',
+                    key='-',
+                    value=str(error),
+                    allowed='a readable text file in UTF-8',
+                )
+            ]
+        ) from None
+    return parse_settings(text, file=path)
--- /dev/null
+++ b/packages/cli/src/apricotthread/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of the operators."""
--- /dev/null
+++ b/packages/control/src/apricotthread/control/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated state: storage, election, log, agreed state and claims."""
--- /dev/null
+++ b/packages/control/src/apricotthread/control/commands.py
@@ -0,0 +1,179 @@
+"""Commands of the replicated log, and their results."""
+
+import msgspec
+
+from apricotthread.control import tables
+
+
+class Command(msgspec.Struct, frozen=True, kw_only=True, tag_field='command'):
+    """The base of every command."""
+
+
+class StartTerm(Command, tag='start_term'):
+    """The first entry of a leader's term; the first of all names voters."""
+
+    data_centres: list[str]
+    disk_by_voter: dict[str, str]
+
+
+class Origin(msgspec.Struct, frozen=True, kw_only=True):
+    """Who sent an operator's command, from where and when."""
+
+    command_id: str
+    operator: str
+    source: str
+    wall_time_s: float
+
+
+class RowEdit(msgspec.Struct, frozen=True, kw_only=True):
+    """The new content of one row; None deletes it."""
+
+    key: tables.RowKey
+    row: tables.AnyRow | None
+
+
+class ChangeRows(Command, tag='change_rows'):
+    """Changes rows that nobody has changed since the base version."""
+
+    origin: Origin
+    base_version: int
+    edits: list[RowEdit]
+
+
+class MarkDataCentre(Command, tag='mark_data_centre'):
+    """Takes a data centre out or brings it back."""
+
+    origin: Origin
+    base_version: int
+    data_centre: str
+    out: bool
+    force: bool = False
+
+
+class AdmitVoter(Command, tag='admit_voter'):
+    """Admits the disk of a control node as a voter."""
+
+    origin: Origin
+    node_id: str
+    disk_id: str
+
+
+class RemoveVoter(Command, tag='remove_voter'):
+    """Removes a control node, or its lost disk, from the voters."""
+
+    origin: Origin
+    node_id: str
+
+
+class GroupMember(msgspec.Struct, frozen=True, kw_only=True):
+    """One VM of a group; the first member is the head, rank 0."""
+
+    endpoint_id: str
+    incarnation: int
+    url: str
+
+
+class AssembleGroup(Command, tag='assemble_group'):
+    """Enters a new group into the ledger, before any order goes out."""
+
+    group_id: str
+    service: str
+    model: str
+    version: str
+    data_centre: str
+    fabric_domain: str
+    members: list[GroupMember]
+
+
+class RepairGroup(Command, tag='repair_group'):
+    """Replaces lost members of a group under a new fencing number."""
+
+    group_id: str
+    fencing: int
+    members: list[GroupMember]
+
+
+class SetGroupState(Command, tag='set_group_state'):
+    """Moves a group on, if it still has the fencing number."""
+
+    group_id: str
+    fencing: int
+    state: str
+
+
+class DissolveGroup(Command, tag='dissolve_group'):
+    """Ends a group; its VMs stay held until each is known to be free."""
+
+    group_id: str
+    fencing: int
+
+
+class ReleaseVm(Command, tag='release_vm'):
+    """Frees a departed VM that announced idle, or restarted."""
+
+    group_id: str
+    endpoint_id: str
+
+
+AnyCommand = (
+    StartTerm
+    | ChangeRows
+    | MarkDataCentre
+    | AdmitVoter
+    | RemoveVoter
+    | AssembleGroup
+    | RepairGroup
+    | SetGroupState
+    | DissolveGroup
+    | ReleaseVm
+)
+
+
+class RowConflict(msgspec.Struct, frozen=True, kw_only=True):
+    """A row that was changed since the base version, as it is now."""
+
+    key: tables.RowKey
+    changed_in: int
+    now: tables.AnyRow | None
+
+
+class Result(msgspec.Struct, frozen=True, kw_only=True):
+    """What became of a command.
+
+    The code is empty when it was accepted, else that of an error.
+    """
+
+    version: int
+    code: str = ''
+    message: str = ''
+    conflicts: list[RowConflict] = []
+    group_fencing: int = 0
+
+    @property
+    def accepted(self) -> bool:
+        """Whether the command was accepted."""
+        return not self.code
+
+
+def encode_command(command: AnyCommand) -> bytes:
+    """Return a command as JSON."""
+    return msgspec.json.encode(command)
+
+
+_COMMAND_DECODER = msgspec.json.Decoder(AnyCommand)
+_RESULT_DECODER = msgspec.json.Decoder(Result)
+
+
+def decode_command(encoded: bytes) -> AnyCommand:
+    """Return the command in the JSON."""
+    return _COMMAND_DECODER.decode(encoded)
+
+
+def encode_result(result: Result) -> bytes:
+    """Return a result as JSON."""
+    return msgspec.json.encode(result)
+
+
+def decode_result(encoded: bytes) -> Result:
+    """Return the result in the JSON."""
+    return _RESULT_DECODER.decode(encoded)
--- /dev/null
+++ b/packages/control/src/apricotthread/control/logstore.py
@@ -0,0 +1,271 @@
+"""The log of one replica: entries, term, vote and snapshot, durable."""
+
+import uuid
+
+import msgspec
+
+from apricotthread.base import errors
+from apricotthread.base import logs
+from apricotthread.control import folders
+from apricotthread.control import journal
+from apricotthread.nodes import messages
+
+JOURNAL_NAME = 'journal.log'
+SNAPSHOT_NAME = 'snapshot.log'
+IDENTITY_NAME = 'identity.log'
+
+
+class TermRecord(msgspec.Struct, frozen=True, kw_only=True, tag='term'):
+    """The newest term and who got the vote in it."""
+
+    term: int
+    voted_for: str
+
+
+class EntryRecord(msgspec.Struct, frozen=True, kw_only=True, tag='entry'):
+    """One log entry; entries from its index on are replaced."""
+
+    index: int
+    term: int
+    payload: bytes
+
+
+class SnapshotRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """The agreed state up to an entry."""
+
+    index: int
+    term: int
+    data: bytes
+
+
+class Identity(msgspec.Struct, frozen=True, kw_only=True):
+    """By which disk a voter is known, and the voters it started with."""
+
+    disk_id: str
+    admitted: bool = False
+    disk_by_voter: dict[str, str] = {}
+
+
+_RECORD_DECODER = msgspec.msgpack.Decoder(TermRecord | EntryRecord)
+
+
+def _decode_single(data: bytes, *, name: str, record_type: type):
+    """Return the only record of a file that is replaced as a whole."""
+    records, end = journal.decode_records(data, name=name)
+    if len(records) != 1 or end != len(data):
+        raise errors.ApricotError(
+            code=errors.ErrorCode.DAMAGED,
+            message=f'{name}: damaged at offset {end if records else 0}; '
+            'restore the data folder, or empty it and admit the node again',
+        )
+    return msgspec.msgpack.decode(records[0], type=record_type)
+
+
+class LogStore:
+    """The log in memory, and its journal and snapshot in the folder.
+
+    Only one task changes the log at a time; the replica sees to that.
+    """
+
+    def __init__(self, *, folder: folders.Folder) -> None:
+        self._folder = folder
+        self._journal = journal.Journal(folder=folder, name=JOURNAL_NAME)
+        self.term = 0
+        self.voted_for = ''
+        self.identity = Identity(disk_id='')
+        self.snapshot = SnapshotRecord(index=0, term=0, data=b'')
+        self._entries: list[messages.LogEntry] = []
+        self.synced_index = 0
+
+    @property
+    def last_index(self) -> int:
+        """The index of the newest entry."""
+        return self.snapshot.index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """The term of the newest entry."""
+        return self._entries[-1].term if self._entries else self.snapshot.term
+
+    @property
+    def entry_count(self) -> int:
+        """How many entries stand after the snapshot."""
+        return len(self._entries)
+
+    @property
+    def journal_size(self) -> int:
+        """The bytes of the journal on disk."""
+        return self._journal.size
+
+    async def load(self) -> None:
+        """Read the folder; a folder without identity gets a new one.
+
+        Raises ApricotError with code DAMAGED when a file is damaged.
+        """
+        identity = await self._folder.read(IDENTITY_NAME)
+        snapshot = await self._folder.read(SNAPSHOT_NAME)
+        records = await self._journal.load()
+        if identity is not None:
+            self.identity = _decode_single(
+                identity, name=IDENTITY_NAME, record_type=Identity
+            )
+        elif snapshot is not None or records:
+            raise errors.ApricotError(
+                code=errors.ErrorCode.DAMAGED,
+                message=f'{IDENTITY_NAME}: missing beside other files at '
+                'offset 0; restore it, or empty the data folder and admit '
+                'the node again',
+            )
+        else:
+            await self.save_identity(Identity(disk_id=uuid.uuid4().hex))
+        if snapshot is not None:
+            self.snapshot = _decode_single(
+                snapshot, name=SNAPSHOT_NAME, record_type=SnapshotRecord
+            )
+        for encoded in records:
+            self._replay(_RECORD_DECODER.decode(encoded))
+        self.synced_index = self.last_index
+
+    def _replay(self, record: TermRecord | EntryRecord) -> None:
+        match record:
+            case TermRecord(term=term, voted_for=voted_for):
+                self.term = term
+                self.voted_for = voted_for
+            case EntryRecord(index=index, term=term, payload=payload):
+                if index <= self.snapshot.index:
+                    return
+                if index > self.last_index + 1:
+                    raise errors.ApricotError(
+                        code=errors.ErrorCode.DAMAGED,
+                        message=f'{JOURNAL_NAME}: entry {index} follows '
+                        f'{self.last_index} before offset '
+                        f'{self._journal.size}; restore the data folder, or '
+                        'empty it and admit the node again',
+                    )
+                self._truncate(index)
+                self._entries.append(
+                    messages.LogEntry(index=index, term=term, payload=payload)
+                )
+
+    async def save_identity(self, identity: Identity) -> None:
+        """Keep the identity of this voter."""
+        record = journal.encode_record(msgspec.msgpack.encode(identity))
+        await self._replace(IDENTITY_NAME, record)
+        self.identity = identity
+
+    async def _replace(self, name: str, data: bytes) -> None:
+        try:
+            await self._folder.replace(name, data)
+        except OSError as error:
+            raise errors.ApricotError(
+                code=errors.ErrorCode.STORAGE, message=f'{name}: {error}'
+            ) from error
+
+    async def save_term(self, term: int, voted_for: str) -> None:
+        """Keep a term and vote; both hold in memory once synced."""
+        await self._recover()
+        record = TermRecord(term=term, voted_for=voted_for)
+        await self._journal.append([msgspec.msgpack.encode(record)])
+        self.term = term
+        self.voted_for = voted_for
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, None if it is not in the log."""
+        if index == self.snapshot.index:
+            return self.snapshot.term
+        if not self.snapshot.index < index <= self.last_index:
+            return None
+        return self._entries[index - self.snapshot.index - 1].term
+
+    def entries_from(
+        self, index: int, *, limit: int, limit_bytes: int
+    ) -> list[messages.LogEntry]:
+        """Return entries from the index on, within the limits."""
+        start = index - self.snapshot.index - 1
+        chosen = []
+        size = 0
+        for entry in self._entries[start : start + limit]:
+            size += len(entry.payload)
+            if chosen and size > limit_bytes:
+                break
+            chosen.append(entry)
+        return chosen
+
+    def entry_at(self, index: int) -> messages.LogEntry:
+        """Return one entry, which must be in the log."""
+        return self._entries[index - self.snapshot.index - 1]
+
+    async def append(self, entries: list[messages.LogEntry]) -> None:
+        """Add entries, replacing those from the first index on.
+
+        They stand in memory at once and are synced on return.
+        """
+        await self._recover()
+        self._truncate(entries[0].index)
+        self._entries.extend(entries)
+        try:
+            await self._journal.append(
+                [
+                    msgspec.msgpack.encode(
+                        EntryRecord(
+                            index=entry.index,
+                            term=entry.term,
+                            payload=entry.payload,
+                        )
+                    )
+                    for entry in entries
+                ]
+            )
+        except errors.ApricotError:
+            self._truncate(self.synced_index + 1)
+            raise
+        last = entries[-1]
+        if self.term_at(last.index) == last.term:
+            self.synced_index = max(self.synced_index, last.index)
+
+    async def _recover(self) -> None:
+        """After a failed write, write the synced entries anew."""
+        if self._journal.failed:
+            self._truncate(self.synced_index + 1)
+            await self._rewrite_journal()
+
+    def _truncate(self, index: int) -> None:
+        """Drop the entries from the index on, if there are any."""
+        index = max(index, self.snapshot.index + 1)
+        del self._entries[index - self.snapshot.index - 1 :]
+        self.synced_index = min(self.synced_index, index - 1)
+
+    async def save_snapshot(self, record: SnapshotRecord) -> None:
+        """Keep a snapshot and drop the entries that it includes.
+
+        A snapshot beyond the log, or of another history, drops it all.
+        """
+        encoded = journal.encode_record(msgspec.msgpack.encode(record))
+        await self._replace(SNAPSHOT_NAME, encoded)
+        if self.term_at(record.index) == record.term:
+            kept = self._entries[record.index - self.snapshot.index :]
+        else:
+            kept = []
+        self._entries = kept
+        self.snapshot = record
+        self.synced_index = max(
+            record.index, min(self.synced_index, self.last_index)
+        )
+        await self._rewrite_journal()
+        logs.log_event('snapshot_saved', index=record.index)
+
+    async def _rewrite_journal(self) -> None:
+        records = [TermRecord(term=self.term, voted_for=self.voted_for)]
+        records.extend(
+            EntryRecord(index=e.index, term=e.term, payload=e.payload)
+            for e in self._entries
+        )
+        try:
+            await self._journal.rewrite(
+                [msgspec.msgpack.encode(record) for record in records]
+            )
+        except OSError as error:
+            raise errors.ApricotError(
+                code=errors.ErrorCode.STORAGE,
+                message=f'{JOURNAL_NAME}: {error}',
+            ) from error
--- /dev/null
+++ b/packages/control/src/apricotthread/control/replica.py
@@ -0,0 +1,828 @@
+"""One replica of the agreed state: election, replication, application."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import enum
+
+import msgspec
+
+from apricotthread.base import environment
+from apricotthread.base import errors
+from apricotthread.base import logs
+from apricotthread.base import settings
+from apricotthread.base import units
+from apricotthread.control import audit
+from apricotthread.control import commands
+from apricotthread.control import logstore
+from apricotthread.control import state
+from apricotthread.nodes import links
+from apricotthread.nodes import messages
+
+MAX_ENTRIES = 256
+MAX_APPEND_BYTES = 256 * units.KIB
+SNAPSHOT_PIECE_BYTES = 256 * units.KIB
+SNAPSHOT_EVERY_ENTRIES = 256
+CLOCK_DRIFT = 0.9  # share of a lease that the leader itself relies on
+PROPOSE_RETRY_S = 0.1
+ADMISSION_RETRY_S = 0.5
+
+
+class Role(enum.Enum):
+    """What a replica is at the moment."""
+
+    FOLLOWER = 'follower'
+    CANDIDATE = 'candidate'
+    LEADER = 'leader'
+
+
+@dataclasses.dataclass(kw_only=True)
+class Progress:
+    """How far a peer's log is known to match, while this node leads."""
+
+    next_index: int
+    match_index: int = 0
+    applied_index: int = 0
+    sent_commit_index: int = 0
+    acknowledged_at: float = float('-inf')
+    disk_id: str = ''
+
+
+class Replica:
+    """Keeps the log and the agreed state of one node.
+
+    A voter has the control role and a disk by which the others know it.
+    Every other node is a learner: it follows the log and never votes.
+    """
+
+    def __init__(
+        self,
+        *,
+        env: environment.Environment,
+        own: settings.NodeAddress,
+        node_by_id: dict[str, settings.NodeAddress],
+        link_by_id: dict[str, links.PeerLink],
+        store: logstore.LogStore,
+        trail: audit.AuditTrail,
+        heartbeat_s: float,
+        lease_s: float,
+    ) -> None:
+        self._env = env
+        self._own = own
+        self._node_by_id = node_by_id
+        self._link_by_id = link_by_id
+        self._trail = trail
+        self._heartbeat_s = heartbeat_s
+        self._lease_s = lease_s
+        self.store = store
+        self.state = state.AgreedState()
+        self.role = Role.FOLLOWER
+        self.leader_id = ''
+        self.commit_index = 0
+        self.applied_index = 0
+        self.applied = asyncio.Event()
+        self._heard_leader_at = float('-inf')
+        self._refuse_votes_until = float('-inf')
+        self._progress_by_id: dict[str, Progress] = {}
+        self._result_by_index: dict[int, asyncio.Future] = {}
+        self._led_since = float('-inf')
+        self._commit_moved = asyncio.Event()
+        self._log_grew = asyncio.Event()
+        self._role_changed = asyncio.Event()
+        self._log_lock = asyncio.Lock()
+        self._incoming_snapshot = bytearray()
+
+    # Starting
+
+    async def load(self) -> None:
+        """Read the log and the snapshot from the data folder."""
+        await self.store.load()
+        snapshot = self.store.snapshot
+        if snapshot.index:
+            self._adopt(snapshot)
+        await self._trail.load()
+        now = self._env.timer.now()
+        self._refuse_votes_until = now + self._lease_s
+
+    async def run(self) -> None:
+        """Take part until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._apply_committed())
+            if self._own.is_voter:
+                tasks.create_task(self._campaign())
+                for link in self._link_by_id.values():
+                    tasks.create_task(self._replicate(link))
+
+    def _adopt(self, snapshot: logstore.SnapshotRecord) -> None:
+        """Take the agreed state from a snapshot."""
+        self.state = state.AgreedState.decode(snapshot.data)
+        self.commit_index = max(self.commit_index, snapshot.index)
+        self.applied_index = snapshot.index
+        self._notify_applied()
+
+    def _notify_applied(self) -> None:
+        self.applied.set()
+        self.applied = asyncio.Event()
+
+    # Who votes
+
+    def disk_by_voter(self) -> dict[str, str]:
+        """Return the voters and their disks by the newest entry."""
+        disks = dict(self.state.content.disk_by_voter)
+        if not disks:
+            disks = dict(self.store.identity.disk_by_voter)
+        for index in range(self.applied_index + 1, self.store.last_index + 1):
+            payload = self.store.entry_at(index).payload
+            match commands.decode_command(payload):
+                case commands.AdmitVoter(node_id=node_id, disk_id=disk_id):
+                    disks.setdefault(node_id, disk_id)
+                case commands.RemoveVoter(node_id=node_id):
+                    if len(disks) > 1:
+                        disks.pop(node_id, None)
+        return disks
+
+    def is_admitted(self) -> bool:
+        """Whether this node, with the disk it has, may vote."""
+        disk_id = self.store.identity.disk_id
+        return self.disk_by_voter().get(self._own.node_id) == disk_id
+
+    def may_answer_for_claims(self) -> bool:
+        """Whether this voter's registers are those that it ever had.
+
+        A voter on a replaced disk would take a claimed key for a free
+        one, so it does not answer for claims.
+        """
+        return self.is_admitted() and self.store.identity.admitted
+
+    def _has_quorum(self, node_ids: collections.abc.Iterable[str]) -> bool:
+        voters = self.disk_by_voter()
+        return 2 * len(voters.keys() & set(node_ids)) > len(voters)
+
+    async def _seek_admission(self) -> None:
+        """Ask the other voters whether all of them start for the first time.
+
+        Once a voter was admitted with a set of disks, only those disks
+        count; a node that lost its disk waits for an operator.
+        """
+        voter_ids = [
+            n.node_id for n in self._node_by_id.values() if n.is_voter
+        ]
+        others = [name for name in voter_ids if name != self._own.node_id]
+        replies = await asyncio.gather(
+            *(
+                self._link_by_id[name].try_call(
+                    messages.IdentityRequest(), timeout_s=self._lease_s
+                )
+                for name in others
+            )
+        )
+        own_disk = self.store.identity.disk_id
+        disks = {self._own.node_id: own_disk}
+        for name, reply in zip(others, replies, strict=True):
+            match reply:
+                case messages.IdentityReply(admitted=True, voters=voters):
+                    known = {v.node_id: v.disk_id for v in voters}
+                    if known.get(self._own.node_id) == own_disk:
+                        await self._save_admission(known)
+                    return
+                case messages.IdentityReply(disk_id=disk_id):
+                    disks[name] = disk_id
+        if len(disks) == len(voter_ids):
+            await self._save_admission(disks)
+
+    async def _save_admission(self, disks: dict[str, str]) -> None:
+        logs.log_event('voter_admitted', voters=sorted(disks))
+        await self.store.save_identity(
+            logstore.Identity(
+                disk_id=self.store.identity.disk_id,
+                admitted=True,
+                disk_by_voter=disks,
+            )
+        )
+
+    async def on_identity_request(
+        self, peer: messages.Greeting, body: messages.IdentityRequest
+    ) -> messages.Message:
+        """Tell which disk this node has and with whom it was admitted."""
+        known = self.disk_by_voter()
+        return messages.IdentityReply(
+            disk_id=self.store.identity.disk_id,
+            admitted=bool(known),
+            voters=[
+                messages.VoterDisk(node_id=name, disk_id=disk)
+                for name, disk in known.items()
+            ],
+        )
+
+    async def find_disk(self, node_id: str) -> str:
+        """Return the disk that a control node has now.
+
+        Raises ApricotError when it is not a control node in the settings
+        or can not be reached.
+        """
+        node = self._node_by_id.get(node_id)
+        if node is None or not node.is_voter:
+            raise errors.ApricotError(
+                code=errors.ErrorCode.UNKNOWN_ROW,
+                message=f'{node_id!r} is no control node in the settings',
+            )
+        if node_id == self._own.node_id:
+            return self.store.identity.disk_id
+        reply = await self._link_by_id[node_id].call(
+            messages.IdentityRequest(), timeout_s=self._lease_s
+        )
+        return reply.disk_id
+
+    # Election
+
+    async def _campaign(self) -> None:
+        """Stand for leader whenever none has been heard for a while."""
+        while True:
+            wait_s = self._lease_s * (1 + self._env.random.random())
+            await self._env.timer.sleep(wait_s / 4)
+            if not self.is_admitted():
+                try:
+                    await self._seek_admission()
+                except errors.ApricotError as error:
+                    logs.log_fault('admission_failed', error)
+                await self._env.timer.sleep(ADMISSION_RETRY_S)
+                continue
+            if self.role is Role.LEADER:
+                led_s = self._env.timer.now() - self._led_since
+                if led_s > self._lease_s and not self.holds_lease():
+                    self._step_down('lost its lease')
+                continue
+            if self._env.timer.now() - self._heard_leader_at < wait_s:
+                continue
+            try:
+                await self._stand()
+            except errors.ApricotError as error:
+                logs.log_fault('campaign_failed', error)
+
+    async def _stand(self) -> None:
+        """Ask for votes, first without a new term, and lead if elected."""
+        if not await self._ask_for_votes(pre_vote=True):
+            return
+        async with self._log_lock:
+            if self._heard_recently():
+                return
+            await self.store.save_term(self.store.term + 1, self._own.node_id)
+            self.role = Role.CANDIDATE
+            self.leader_id = ''
+            term = self.store.term
+        if not await self._ask_for_votes(pre_vote=False):
+            return
+        if self.store.term == term and self.role is Role.CANDIDATE:
+            await self._lead()
+
+    def _heard_recently(self) -> bool:
+        now = self._env.timer.now()
+        return now - self._heard_leader_at < self._lease_s
+
+    async def _ask_for_votes(self, *, pre_vote: bool) -> bool:
+        term = self.store.term + (1 if pre_vote else 0)
+        request = messages.VoteRequest(
+            term=term,
+            candidate=self._own.node_id,
+            last_index=self.store.last_index,
+            last_term=self.store.last_term,
+            pre_vote=pre_vote,
+        )
+        voters = self.disk_by_voter().keys() - {self._own.node_id}
+        asked = [v for v in sorted(voters) if v in self._link_by_id]
+        replies = await asyncio.gather(
+            *(
+                self._link_by_id[voter].try_call(
+                    request, timeout_s=self._lease_s / 2
+                )
+                for voter in asked
+            )
+        )
+        granted = {self._own.node_id}
+        for voter, reply in zip(asked, replies, strict=True):
+            match reply:
+                case messages.VoteReply(granted=True):
+                    granted.add(voter)
+                case messages.VoteReply(term=newer) if newer > term:
+                    await self._see_term(newer)
+        return self._has_quorum(granted)
+
+    async def _see_term(self, term: int) -> None:
+        """Follow a newer term."""
+        async with self._log_lock:
+            if term > self.store.term:
+                await self.store.save_term(term, '')
+                self._step_down('saw a newer term')
+
+    async def on_vote_request(
+        self, peer: messages.Greeting, body: messages.VoteRequest
+    ) -> messages.Message:
+        """Vote for a candidate with a log at least as new as this one."""
+        async with self._log_lock:
+            granted = await self._decide_vote(body)
+            return messages.VoteReply(term=self.store.term, granted=granted)
+
+    async def _decide_vote(self, body: messages.VoteRequest) -> bool:
+        now = self._env.timer.now()
+        has_leader = (
+            self._heard_recently()
+            or now < self._refuse_votes_until
+            or (self.role is Role.LEADER and self.holds_lease())
+        )
+        if has_leader or not self.is_admitted():
+            return False
+        is_current = (body.last_term, body.last_index) >= (
+            self.store.last_term,
+            self.store.last_index,
+        )
+        if body.pre_vote:
+            return is_current and body.term > self.store.term
+        if body.term < self.store.term:
+            return False
+        voted_for = self.store.voted_for
+        if body.term > self.store.term:
+            voted_for = ''
+            self._step_down('saw a newer term')
+        if not is_current or voted_for not in ('', body.candidate):
+            if body.term > self.store.term:
+                await self.store.save_term(body.term, '')
+            return False
+        await self.store.save_term(body.term, body.candidate)
+        return True
+
+    async def _lead(self) -> None:
+        """Become the leader and commit a first entry of the term."""
+        now = self._env.timer.now()
+        self.role = Role.LEADER
+        self.leader_id = self._own.node_id
+        self._led_since = now
+        self._progress_by_id = {
+            name: Progress(next_index=self.store.last_index + 1)
+            for name in self._link_by_id
+        }
+        logs.log_event('leader_elected', term=self.store.term)
+        self._env.metrics.count('leader_elections')
+        self._wake(self._role_changed)
+        data_centres = {n.data_centre for n in self._node_by_id.values()}
+        first = commands.StartTerm(
+            data_centres=sorted(data_centres),
+            disk_by_voter=self.store.identity.disk_by_voter,
+        )
+        try:
+            await self._append_own(commands.encode_command(first))
+        except errors.ApricotError as error:
+            self._step_down(error.message)
+
+    def _wake(self, event: asyncio.Event) -> None:
+        """Wake those who wait now, and only them."""
+        event.set()
+        event.clear()
+
+    def _step_down(self, reason: str) -> None:
+        if self.role is Role.LEADER:
+            logs.log_event(
+                'leader_stepped_down', term=self.store.term, reason=reason
+            )
+            self.leader_id = ''
+            for future in self._result_by_index.values():
+                if not future.done():
+                    future.set_exception(self._make_lost_error())
+            self._result_by_index.clear()
+        self.role = Role.FOLLOWER
+        self._wake(self._role_changed)
+
+    def _make_lost_error(self) -> errors.ApricotError:
+        return errors.ApricotError(
+            code=errors.ErrorCode.OUTCOME_UNKNOWN,
+            message='the leader lost its lease while the change was under '
+            'way; send the same command id again to learn its result',
+            ran=errors.Ran.UNKNOWN,
+            retry_after_s=self._lease_s,
+        )
+
+    def lease_remaining_s(self) -> float:
+        """Return how long this node surely remains the only leader."""
+        if self.role is not Role.LEADER:
+            return 0.0
+        now = self._env.timer.now()
+        times = {self._own.node_id: now}
+        disks = self.disk_by_voter()
+        for name, progress in self._progress_by_id.items():
+            if disks.get(name) == progress.disk_id:
+                times[name] = progress.acknowledged_at
+        newest = sorted(times.get(v, float('-inf')) for v in disks)
+        supported_at = newest[(len(newest) - 1) // 2]
+        return supported_at + self._lease_s * CLOCK_DRIFT - now
+
+    def holds_lease(self) -> bool:
+        """Whether this node surely is the only leader."""
+        return self.lease_remaining_s() > 0
+
+    def has_majority(self) -> bool:
+        """Whether a leader with a majority was heard within the lease."""
+        if self.role is Role.LEADER:
+            return self.holds_lease()
+        return self._heard_recently()
+
+    # Replication by the leader
+
+    async def _append_own(
+        self, payload: bytes
+    ) -> asyncio.Future[commands.Result]:
+        """Append a command as the leader; return its future result."""
+        async with self._log_lock:
+            if self.role is not Role.LEADER:
+                raise self._make_lost_error()
+            entry = messages.LogEntry(
+                index=self.store.last_index + 1,
+                term=self.store.term,
+                payload=payload,
+            )
+            future = asyncio.get_running_loop().create_future()
+            self._result_by_index[entry.index] = future
+            self._wake(self._log_grew)
+            await self.store.append([entry])
+        self._advance_commit()
+        return future
+
+    async def _replicate(self, link: links.PeerLink) -> None:
+        """Bring one peer's log up to date whenever this node leads."""
+        while True:
+            if self.role is not Role.LEADER:
+                await self._role_changed.wait()
+                continue
+            progress = self._progress_by_id[link.peer_id]
+            behind = await self._replicate_once(link, progress)
+            if behind or self.role is not Role.LEADER:
+                continue
+            try:
+                async with self._env.timer.timeout(self._heartbeat_s):
+                    await self._log_grew.wait()
+            except TimeoutError:
+                pass
+
+    async def _replicate_once(
+        self, link: links.PeerLink, progress: Progress
+    ) -> bool:
+        """Send what a peer lacks; return whether it lacks more."""
+        sent_at = self._env.timer.now()
+        sent_commit_index = self.commit_index
+        previous_index = progress.next_index - 1
+        previous_term = self.store.term_at(previous_index)
+        if previous_term is None:
+            reply = await self._send_snapshot(link)
+        else:
+            reply = await link.try_call(
+                messages.AppendRequest(
+                    term=self.store.term,
+                    leader=self._own.node_id,
+                    previous_index=previous_index,
+                    previous_term=previous_term,
+                    entries=self.store.entries_from(
+                        progress.next_index,
+                        limit=MAX_ENTRIES,
+                        limit_bytes=MAX_APPEND_BYTES,
+                    ),
+                    commit_index=self.commit_index,
+                ),
+                timeout_s=self._lease_s,
+            )
+        if not isinstance(reply, messages.AppendReply):
+            await self._env.timer.sleep(self._heartbeat_s / 4)
+            return False
+        if reply.term > self.store.term:
+            await self._see_term(reply.term)
+            return False
+        if reply.term < self.store.term or self.role is not Role.LEADER:
+            return False
+        progress.acknowledged_at = sent_at
+        progress.sent_commit_index = sent_commit_index
+        progress.applied_index = reply.applied_index
+        progress.disk_id = reply.disk_id
+        if reply.success:
+            progress.match_index = reply.match_index
+            progress.next_index = reply.match_index + 1
+            self._advance_commit()
+        else:
+            progress.next_index = min(
+                max(1, progress.next_index - 1), reply.match_index + 1
+            )
+        return (
+            progress.next_index <= self.store.last_index
+            or progress.sent_commit_index < self.commit_index
+        )
+
+    async def _send_snapshot(
+        self, link: links.PeerLink
+    ) -> messages.Message | None:
+        """Send the snapshot in pieces; return the last reply."""
+        snapshot = self.store.snapshot
+        term = self.store.term
+        reply = None
+        for offset in range(0, len(snapshot.data), SNAPSHOT_PIECE_BYTES):
+            end = offset + SNAPSHOT_PIECE_BYTES
+            reply = await link.try_call(
+                messages.SnapshotPiece(
+                    term=term,
+                    leader=self._own.node_id,
+                    last_index=snapshot.index,
+                    last_term=snapshot.term,
+                    offset=offset,
+                    data=snapshot.data[offset:end],
+                    complete=end >= len(snapshot.data),
+                ),
+                timeout_s=self._lease_s,
+            )
+            match reply:
+                case messages.AppendReply(success=True):
+                    continue
+                case _:
+                    return reply
+        return reply
+
+    def _advance_commit(self) -> None:
+        """Commit what a majority of the voters has synced."""
+        if self.role is not Role.LEADER:
+            return
+        disks = self.disk_by_voter()
+        matches = []
+        for voter, disk_id in disks.items():
+            progress = self._progress_by_id.get(voter)
+            if voter == self._own.node_id:
+                matches.append(self.store.synced_index)
+            elif progress is not None and progress.disk_id == disk_id:
+                matches.append(progress.match_index)
+            else:
+                matches.append(0)
+        matches.sort()
+        agreed = matches[(len(matches) - 1) // 2]
+        if (
+            agreed > self.commit_index
+            and self.store.term_at(agreed) == self.store.term
+        ):
+            self.commit_index = agreed
+            self._wake(self._log_grew)
+            self._commit_moved.set()
+
+    # Following
+
+    async def _accept_leader(self, term: int, leader: str) -> bool:
+        """Follow the sender if its term is not an old one."""
+        if term < self.store.term:
+            return False
+        if term > self.store.term:
+            await self.store.save_term(term, '')
+        if self.role is not Role.FOLLOWER:
+            self._step_down('heard another leader')
+        self.leader_id = leader
+        self._heard_leader_at = self._env.timer.now()
+        return True
+
+    def _append_reply(self, success: bool, match: int) -> messages.Message:
+        return messages.AppendReply(
+            term=self.store.term,
+            success=success,
+            match_index=match,
+            applied_index=self.applied_index,
+            disk_id=self.store.identity.disk_id,
+        )
+
+    async def on_append_request(
+        self, peer: messages.Greeting, body: messages.AppendRequest
+    ) -> messages.Message:
+        """Add the leader's entries and answer once they are synced."""
+        async with self._log_lock:
+            if not await self._accept_leader(body.term, body.leader):
+                return self._append_reply(False, 0)
+            known_term = self.store.term_at(body.previous_index)
+            if body.previous_index < self.store.snapshot.index:
+                return self._append_reply(True, self.store.snapshot.index)
+            if known_term != body.previous_term:
+                hint = min(self.store.last_index, body.previous_index - 1)
+                return self._append_reply(
+                    False, max(hint, self.store.snapshot.index)
+                )
+            new = [
+                entry
+                for entry in body.entries
+                if self.store.term_at(entry.index) != entry.term
+            ]
+            if new:
+                await self.store.append(new)
+            match = body.previous_index + len(body.entries)
+            if self.store.synced_index < match:
+                return self._append_reply(False, self.store.synced_index)
+            self._move_commit(min(body.commit_index, match))
+            return self._append_reply(True, match)
+
+    def _move_commit(self, index: int) -> None:
+        if index > self.commit_index:
+            self.commit_index = index
+            self._commit_moved.set()
+
+    async def on_snapshot_piece(
+        self, peer: messages.Greeting, body: messages.SnapshotPiece
+    ) -> messages.Message:
+        """Collect the pieces of a snapshot and adopt it when complete."""
+        async with self._log_lock:
+            if not await self._accept_leader(body.term, body.leader):
+                return self._append_reply(False, 0)
+            if body.offset == 0:
+                self._incoming_snapshot = bytearray()
+            if body.offset != len(self._incoming_snapshot):
+                return self._append_reply(False, self.store.snapshot.index)
+            self._incoming_snapshot += body.data
+            if not body.complete:
+                return self._append_reply(True, self.store.snapshot.index)
+            record = logstore.SnapshotRecord(
+                index=body.last_index,
+                term=body.last_term,
+                data=bytes(self._incoming_snapshot),
+            )
+            self._incoming_snapshot = bytearray()
+            if record.index > self.applied_index:
+                await self.store.save_snapshot(record)
+                self._adopt(record)
+                await self._fill_audit_gap(record.index)
+            return self._append_reply(True, record.index)
+
+    async def _fill_audit_gap(self, index: int) -> None:
+        """Fetch the audit records of entries that a snapshot skipped."""
+        link = self._link_by_id.get(self.leader_id)
+        if link is None or not self._own.is_voter:
+            return
+        reply = await link.try_call(
+            messages.AuditRequest(since=self._trail.last_index),
+            timeout_s=self._lease_s / 2,
+        )
+        if isinstance(reply, messages.AuditReply):
+            await self._trail.fill_gap(reply, index)
+
+    # Application
+
+    async def _apply_committed(self) -> None:
+        """Apply committed entries in order, and save snapshots."""
+        while True:
+            await self._commit_moved.wait()
+            self._commit_moved.clear()
+            records = []
+            while self.applied_index < self.commit_index:
+                index = self.applied_index + 1
+                entry = self.store.entry_at(index)
+                command = commands.decode_command(entry.payload)
+                result, audited = self.state.apply(command, index=index)
+                records.extend(audited)
+                self.applied_index = index
+                future = self._result_by_index.pop(index, None)
+                if future is not None and not future.done():
+                    future.set_result(result)
+            self._notify_applied()
+            self._env.metrics.set_gauge('agreed_version', self.state.version)
+            try:
+                await self._trail.append(records)
+                await self._compact()
+            except errors.ApricotError as error:
+                logs.log_fault('snapshot_failed', error)
+                self._step_down(error.message)
+
+    async def _compact(self) -> None:
+        """Save a snapshot when the log has grown long enough."""
+        applied = self.applied_index - self.store.snapshot.index
+        if applied < SNAPSHOT_EVERY_ENTRIES:
+            return
+        async with self._log_lock:
+            index = self.applied_index
+            term = self.store.term_at(index)
+            await self.store.save_snapshot(
+                logstore.SnapshotRecord(
+                    index=index, term=term, data=self.state.encode()
+                )
+            )
+
+    # Commands
+
+    async def propose(
+        self, command: commands.AnyCommand, *, timeout_s: float
+    ) -> commands.Result:
+        """Have a command agreed; return its result.
+
+        An operator's command is safe to propose again under its id, so
+        it is, until the time is over. Raises ApricotError with code
+        NO_QUORUM, ran NO when it certainly was not logged.
+        """
+        payload = commands.encode_command(command)
+        deadline = self._env.timer.now() + timeout_s
+        may_have_run = False
+        while True:
+            remaining_s = deadline - self._env.timer.now()
+            if remaining_s <= 0:
+                raise self._make_no_quorum_error(may_have_run)
+            try:
+                async with self._env.timer.timeout(remaining_s):
+                    return await self._propose_once(payload)
+            except TimeoutError:
+                may_have_run = True
+            except errors.ApricotError as error:
+                may_have_run |= error.ran is not errors.Ran.NO
+            await self._env.timer.sleep(
+                min(PROPOSE_RETRY_S, max(0.0, remaining_s))
+            )
+
+    def _make_no_quorum_error(self, may_have_run: bool) -> errors.ApricotError:
+        return errors.ApricotError(
+            code=errors.ErrorCode.NO_QUORUM,
+            message='no majority of the control nodes could be reached in '
+            'time'
+            + (
+                '; the change may still be accepted, send the same command '
+                'id again to learn its result'
+                if may_have_run
+                else ''
+            ),
+            ran=errors.Ran.UNKNOWN if may_have_run else errors.Ran.NO,
+            retry_after_s=self._lease_s,
+        )
+
+    async def _propose_once(self, payload: bytes) -> commands.Result:
+        if self.role is Role.LEADER:
+            return await self.propose_as_leader(payload)
+        link = self._link_by_id.get(self.leader_id)
+        if link is None:
+            raise errors.ApricotError(
+                code=errors.ErrorCode.NOT_LEADER,
+                message='no leader is known',
+            )
+        reply = await link.call(
+            messages.Proposal(payload=payload),
+            timeout_s=self._lease_s * 2,
+        )
+        return commands.decode_result(reply.payload)
+
+    async def propose_as_leader(self, payload: bytes) -> commands.Result:
+        """Log a command as the leader and return its result."""
+        if not self.holds_lease():
+            raise errors.ApricotError(
+                code=errors.ErrorCode.NOT_LEADER,
+                message='this node does not lead',
+            )
+        try:
+            future = await self._append_own(payload)
+        except errors.ApricotError as error:
+            self._step_down(error.message)
+            raise
+        return await future
+
+    async def on_proposal(
+        self, peer: messages.Greeting, body: messages.Proposal
+    ) -> messages.Message:
+        """Log a command that another node passed on."""
+        try:
+            commands.decode_command(body.payload)
+        except msgspec.DecodeError as error:
+            raise errors.ApricotError(
+                code=errors.ErrorCode.PROTOCOL,
+                message=f'the command can not be decoded: {error}',
+            ) from error
+        result = await self.propose_as_leader(body.payload)
+        return messages.ProposalReply(payload=commands.encode_result(result))
+
+    async def wait_applied(self, version: int) -> None:
+        """Return once the agreed state has at least the version."""
+        while self.state.version < version:
+            await self.applied.wait()
+
+    # State for nodes that restart while no leader can be reached
+
+    async def on_state_request(
+        self, peer: messages.Greeting, body: messages.StateRequest
+    ) -> messages.Message:
+        """Give the agreed state as this node has it."""
+        if not self.applied_index:
+            return messages.StateReply(index=0, term=0, data=b'')
+        return messages.StateReply(
+            index=self.applied_index,
+            term=self.store.term_at(self.applied_index) or 0,
+            data=self.state.encode(),
+        )
+
+    async def fetch_state(self) -> None:
+        """Take the newest agreed state that a peer has, if it is newer."""
+        replies = await asyncio.gather(
+            *(
+                link.try_call(messages.StateRequest(), timeout_s=self._lease_s)
+                for link in self._link_by_id.values()
+                if link.is_connected
+            )
+        )
+        known = [r for r in replies if isinstance(r, messages.StateReply)]
+        newest = max(known, key=lambda reply: reply.index, default=None)
+        if newest is None or newest.index <= self.applied_index:
+            return
+        async with self._log_lock:
+            if newest.index <= self.applied_index:
+                return
+            record = logstore.SnapshotRecord(
+                index=newest.index, term=newest.term, data=newest.data
+            )
+            await self.store.save_snapshot(record)
+            self._adopt(record)
--- /dev/null
+++ b/packages/control/src/apricotthread/control/state.py
@@ -0,0 +1,474 @@
+"""The agreed state: what every replica computes from the log."""
+
+import msgspec
+
+from apricotthread.base import errors
+from apricotthread.control import commands
+from apricotthread.control import tables
+
+MAX_REMEMBERED_COMMANDS = 4096
+GROUP_STATES = ('assembling', 'serving', 'draining')
+
+
+class Group(msgspec.Struct, frozen=True, kw_only=True):
+    """A ledger entry: a group and the VMs that it holds.
+
+    A VM that leaves is among the departed until it announced that it is
+    idle, or came back as a new incarnation. The entry ends when it holds
+    no VM. A group without members is dissolved.
+    """
+
+    group_id: str
+    service: str
+    model: str
+    version: str
+    data_centre: str
+    fabric_domain: str
+    fencing: int
+    state: str
+    members: list[commands.GroupMember]
+    departed: list[commands.GroupMember] = []
+
+    @property
+    def head(self) -> commands.GroupMember:
+        """The member that takes the requests."""
+        return self.members[0]
+
+
+class AuditRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Who changed what, from where, and what came of it."""
+
+    index: int
+    wall_time_s: float
+    operator: str
+    source: str
+    command_id: str
+    action: str
+    subject: str
+    before: str
+    after: str
+    version: int
+    result: str
+
+
+class Content(msgspec.Struct, kw_only=True):
+    """The agreed state as it is kept in snapshots."""
+
+    version: int = 0
+    table: tables.Table = tables.Table()
+    row_version_by_key: dict[str, int] = {}
+    mark_version_by_data_centre: dict[str, int] = {}
+    taken_out: list[str] = []
+    data_centres: list[str] = []
+    group_by_id: dict[str, Group] = {}
+    last_fencing: int = 0
+    result_by_command_id: dict[str, commands.Result] = {}
+    disk_by_voter: dict[str, str] = {}
+
+
+class AgreedState:
+    """Applies commands in the order of the log."""
+
+    def __init__(self, *, content: Content | None = None) -> None:
+        self.content = content or Content()
+
+    @property
+    def version(self) -> int:
+        """The number of the newest accepted change by an operator."""
+        return self.content.version
+
+    @property
+    def table(self) -> tables.Table:
+        """The table in force."""
+        return self.content.table
+
+    def encode(self) -> bytes:
+        """Return the state for a snapshot."""
+        return msgspec.json.encode(self.content)
+
+    @classmethod
+    def decode(cls, encoded: bytes) -> 'AgreedState':
+        """Return the state in a snapshot."""
+        return cls(content=msgspec.json.decode(encoded, type=Content))
+
+    def apply(
+        self, command: commands.AnyCommand, *, index: int
+    ) -> tuple[commands.Result, list[AuditRecord]]:
+        """Apply one command; return its result and audit records."""
+        origin = getattr(command, 'origin', None)
+        if origin is None:
+            return self._apply_internal(command), []
+        known = self.content.result_by_command_id.get(origin.command_id)
+        if known is not None:
+            return known, []
+        result, changes = self._apply_operator(command)
+        self._remember(origin.command_id, result)
+        records = [
+            AuditRecord(
+                index=index,
+                wall_time_s=origin.wall_time_s,
+                operator=origin.operator,
+                source=origin.source,
+                command_id=origin.command_id,
+                action=type(command).__struct_config__.tag,
+                subject=change.subject,
+                before=change.before,
+                after=change.after,
+                version=result.version,
+                result=result.code or 'accepted',
+            )
+            for change in changes
+        ]
+        return result, records
+
+    def _remember(self, command_id: str, result: commands.Result) -> None:
+        """Keep a result for resent commands, the oldest dropped first."""
+        remembered = self.content.result_by_command_id
+        remembered[command_id] = result
+        while len(remembered) > MAX_REMEMBERED_COMMANDS:
+            del remembered[next(iter(remembered))]
+
+    def _apply_operator(
+        self, command: commands.AnyCommand
+    ) -> tuple[commands.Result, list['_Change']]:
+        match command:
+            case commands.ChangeRows():
+                return self._change_rows(command)
+            case commands.MarkDataCentre():
+                return self._mark_data_centre(command)
+            case commands.AdmitVoter():
+                return self._admit_voter(command)
+            case commands.RemoveVoter():
+                return self._remove_voter(command)
+        raise TypeError(command)
+
+    def _apply_internal(self, command: commands.AnyCommand) -> commands.Result:
+        match command:
+            case commands.StartTerm():
+                return self._start_term(command)
+            case commands.AssembleGroup():
+                return self._assemble_group(command)
+            case commands.RepairGroup():
+                return self._repair_group(command)
+            case commands.SetGroupState():
+                return self._set_group_state(command)
+            case commands.DissolveGroup():
+                return self._dissolve_group(command)
+            case commands.ReleaseVm():
+                return self._release_vm(command)
+        raise TypeError(command)
+
+    def _start_term(self, command: commands.StartTerm) -> commands.Result:
+        self.content.data_centres = command.data_centres
+        if not self.content.disk_by_voter:
+            self.content.disk_by_voter = command.disk_by_voter
+        return self._accepted()
+
+    def _accepted(self, *, group_fencing: int = 0) -> commands.Result:
+        return commands.Result(
+            version=self.version, group_fencing=group_fencing
+        )
+
+    def _refused(
+        self,
+        code: errors.ErrorCode,
+        message: str,
+        conflicts: list[commands.RowConflict] | None = None,
+    ) -> commands.Result:
+        return commands.Result(
+            version=self.version,
+            code=code.label,
+            message=message,
+            conflicts=conflicts or [],
+        )
+
+    def _change_rows(
+        self, command: commands.ChangeRows
+    ) -> tuple[commands.Result, list['_Change']]:
+        content = self.content
+        rows = content.table.row_by_key()
+        changes = [
+            _Change(
+                subject=str(edit.key),
+                before=_show_row(rows.get(edit.key)),
+                after=_show_row(edit.row),
+            )
+            for edit in command.edits
+        ]
+        conflicts = [
+            commands.RowConflict(
+                key=edit.key,
+                changed_in=content.row_version_by_key[str(edit.key)],
+                now=rows.get(edit.key),
+            )
+            for edit in command.edits
+            if content.row_version_by_key.get(str(edit.key), 0)
+            > command.base_version
+        ]
+        if conflicts:
+            names = ', '.join(str(conflict.key) for conflict in conflicts)
+            return (
+                self._refused(
+                    errors.ErrorCode.CONFLICT,
+                    f'changed since version {command.base_version}: {names}',
+                    conflicts,
+                ),
+                changes,
+            )
+        for edit in command.edits:
+            if edit.row is None:
+                rows.pop(edit.key, None)
+            else:
+                rows[edit.key] = edit.row
+        table = tables.make_table(rows.values())
+        faults = tables.check_table(table)
+        if faults:
+            message = '\n'.join(str(fault) for fault in faults)
+            return self._refused(errors.ErrorCode.TABLE, message), changes
+        content.version += 1
+        content.table = table
+        for edit in command.edits:
+            content.row_version_by_key[str(edit.key)] = content.version
+        return self._accepted(), changes
+
+    def _mark_data_centre(
+        self, command: commands.MarkDataCentre
+    ) -> tuple[commands.Result, list['_Change']]:
+        content = self.content
+        name = command.data_centre
+        is_out = name in content.taken_out
+        change = _Change(
+            subject=f'data_centre:{name}',
+            before='out' if is_out else 'in',
+            after='out' if command.out else 'in',
+        )
+        if is_out == command.out:
+            return self._accepted(), [change]
+        changed_in = content.mark_version_by_data_centre.get(name, 0)
+        if changed_in > command.base_version:
+            return (
+                self._refused(
+                    errors.ErrorCode.CONFLICT,
+                    f'data centre {name} was changed in version '
+                    f'{changed_in} and is {change.before} now',
+                ),
+                [change],
+            )
+        still_in = set(content.data_centres) - set(content.taken_out)
+        if command.out and still_in <= {name} and not command.force:
+            return (
+                self._refused(
+                    errors.ErrorCode.CONFLICT,
+                    f'{name} is the last data centre that is in; use --force '
+                    'to stop all service',
+                ),
+                [change],
+            )
+        content.version += 1
+        content.mark_version_by_data_centre[name] = content.version
+        if command.out:
+            content.taken_out = sorted([*content.taken_out, name])
+        else:
+            content.taken_out = [n for n in content.taken_out if n != name]
+        return self._accepted(), [change]
+
+    def _admit_voter(
+        self, command: commands.AdmitVoter
+    ) -> tuple[commands.Result, list['_Change']]:
+        disks = self.content.disk_by_voter
+        change = _Change(
+            subject=f'voter:{command.node_id}',
+            before=disks.get(command.node_id, ''),
+            after=command.disk_id,
+        )
+        if disks.get(command.node_id) == command.disk_id:
+            return self._accepted(), [change]
+        if command.node_id in disks:
+            return (
+                self._refused(
+                    errors.ErrorCode.CONFLICT,
+                    f'{command.node_id} is a voter with another disk; remove '
+                    'it first',
+                ),
+                [change],
+            )
+        disks[command.node_id] = command.disk_id
+        self.content.version += 1
+        return self._accepted(), [change]
+
+    def _remove_voter(
+        self, command: commands.RemoveVoter
+    ) -> tuple[commands.Result, list['_Change']]:
+        disks = self.content.disk_by_voter
+        change = _Change(
+            subject=f'voter:{command.node_id}',
+            before=disks.get(command.node_id, ''),
+            after='',
+        )
+        if command.node_id not in disks:
+            return self._accepted(), [change]
+        if len(disks) == 1:
+            return (
+                self._refused(
+                    errors.ErrorCode.CONFLICT, 'the last voter stays'
+                ),
+                [change],
+            )
+        del disks[command.node_id]
+        self.content.version += 1
+        return self._accepted(), [change]
+
+    def held_vms(self) -> dict[str, Group]:
+        """Return the group that holds each VM, by endpoint id."""
+        return {
+            member.endpoint_id: group
+            for group in self.content.group_by_id.values()
+            for member in (*group.members, *group.departed)
+        }
+
+    def _assemble_group(
+        self, command: commands.AssembleGroup
+    ) -> commands.Result:
+        refusal = self._check_members(command.members, own_group_id='')
+        if refusal is not None:
+            return refusal
+        self.content.last_fencing += 1
+        self.content.group_by_id[command.group_id] = Group(
+            group_id=command.group_id,
+            service=command.service,
+            model=command.model,
+            version=command.version,
+            data_centre=command.data_centre,
+            fabric_domain=command.fabric_domain,
+            fencing=self.content.last_fencing,
+            state='assembling',
+            members=command.members,
+        )
+        return self._accepted(group_fencing=self.content.last_fencing)
+
+    def _check_members(
+        self, members: list[commands.GroupMember], *, own_group_id: str
+    ) -> commands.Result | None:
+        """Return a refusal if a VM is twice in a list or held elsewhere."""
+        held = self.held_vms()
+        names = [member.endpoint_id for member in members]
+        in_use = [
+            name
+            for name in names
+            if name in held and held[name].group_id != own_group_id
+        ]
+        if in_use or len(set(names)) < len(names) or not names:
+            return self._refused(
+                errors.ErrorCode.CONFLICT,
+                f'VMs are held by another group: {in_use}',
+            )
+        return None
+
+    def _find_group(self, group_id: str, fencing: int) -> Group | None:
+        """Return a group if it still has the fencing number."""
+        group = self.content.group_by_id.get(group_id)
+        if group is None or group.fencing != fencing or not group.members:
+            return None
+        return group
+
+    def _group_gone(self) -> commands.Result:
+        return self._refused(
+            errors.ErrorCode.CONFLICT,
+            'the group has another fencing number or is dissolved',
+        )
+
+    def _repair_group(self, command: commands.RepairGroup) -> commands.Result:
+        group = self._find_group(command.group_id, command.fencing)
+        if group is None:
+            return self._group_gone()
+        refusal = self._check_members(
+            command.members, own_group_id=group.group_id
+        )
+        if refusal is not None:
+            return refusal
+        kept = {member.endpoint_id for member in command.members}
+        departed = {m.endpoint_id for m in group.departed}
+        if kept & departed:
+            return self._refused(
+                errors.ErrorCode.CONFLICT,
+                f'VMs have not been released: {sorted(kept & departed)}',
+            )
+        self.content.last_fencing += 1
+        lost = [m for m in group.members if m.endpoint_id not in kept]
+        self.content.group_by_id[group.group_id] = msgspec.structs.replace(
+            group,
+            fencing=self.content.last_fencing,
+            state='assembling',
+            members=command.members,
+            departed=[*group.departed, *lost],
+        )
+        return self._accepted(group_fencing=self.content.last_fencing)
+
+    def _set_group_state(
+        self, command: commands.SetGroupState
+    ) -> commands.Result:
+        group = self._find_group(command.group_id, command.fencing)
+        if group is None:
+            return self._group_gone()
+        forward = GROUP_STATES.index(command.state) > GROUP_STATES.index(
+            group.state
+        )
+        if not forward:
+            return self._refused(
+                errors.ErrorCode.CONFLICT, f'the group is {group.state}'
+            )
+        self.content.group_by_id[group.group_id] = msgspec.structs.replace(
+            group, state=command.state
+        )
+        return self._accepted()
+
+    def _dissolve_group(
+        self, command: commands.DissolveGroup
+    ) -> commands.Result:
+        group = self._find_group(command.group_id, command.fencing)
+        if group is None:
+            return self._group_gone()
+        self.content.last_fencing += 1
+        self.content.group_by_id[group.group_id] = msgspec.structs.replace(
+            group,
+            fencing=self.content.last_fencing,
+            state='draining',
+            members=[],
+            departed=[*group.departed, *group.members],
+        )
+        return self._accepted(group_fencing=self.content.last_fencing)
+
+    def _release_vm(self, command: commands.ReleaseVm) -> commands.Result:
+        group = self.content.group_by_id.get(command.group_id)
+        if group is None:
+            return self._group_gone()
+        departed = [
+            member
+            for member in group.departed
+            if member.endpoint_id != command.endpoint_id
+        ]
+        if len(departed) == len(group.departed):
+            return self._refused(
+                errors.ErrorCode.CONFLICT,
+                f'{command.endpoint_id} has not left the group',
+            )
+        if departed or group.members:
+            self.content.group_by_id[group.group_id] = msgspec.structs.replace(
+                group, departed=departed
+            )
+        else:
+            del self.content.group_by_id[group.group_id]
+        return self._accepted()
+
+
+class _Change(msgspec.Struct, frozen=True, kw_only=True):
+    """What one command wanted to change."""
+
+    subject: str
+    before: str
+    after: str
+
+
+def _show_row(row: tables.AnyRow | None) -> str:
+    """Return a row as JSON for the audit trail, empty for none."""
+    return msgspec.json.encode(row).decode() if row is not None else ''
--- /dev/null
+++ b/packages/daemon/src/apricotthread/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The node daemon, which wires all parts together."""
--- /dev/null
+++ b/packages/daemon/src/apricotthread/daemon/listeners.py
@@ -0,0 +1,78 @@
+"""The HTTP listeners of a node."""
+
+import asyncio
+import contextlib
+import socket
+
+import uvicorn
+from uvicorn.protocols.http import httptools_impl
+
+BACKLOG = 1024
+KEEP_ALIVE_S = 30
+
+
+class BoundedProtocol(httptools_impl.HttpToolsProtocol):
+    """An HTTP connection that holds little for a reader that is slow."""
+
+    write_buffer_bytes = 16384
+
+    def connection_made(self, transport) -> None:
+        """Bound what the transport holds before writes have to wait."""
+        super().connection_made(transport)
+        transport.set_write_buffer_limits(high=self.write_buffer_bytes)
+
+
+class Listener(uvicorn.Server):
+    """One HTTP server inside the node; signals are the node's."""
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        """Leave the signals alone."""
+        yield
+
+
+def open_socket(host: str, port: int, *, send_buffer_bytes: int):
+    """Return a listening socket whose connections have small buffers."""
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    listening = socket.socket(family, socket.SOCK_STREAM)
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listening.setsockopt(
+        socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer_bytes
+    )
+    listening.bind((host, port))
+    listening.listen(BACKLOG)
+    listening.setblocking(False)
+    return listening
+
+
+def make_listener(application) -> Listener:
+    """Return a listener that serves an ASGI application."""
+    return Listener(
+        uvicorn.Config(
+            application,
+            http=BoundedProtocol,
+            ws='none',
+            lifespan='off',
+            access_log=False,
+            log_config=None,
+            timeout_keep_alive=KEEP_ALIVE_S,
+            server_header=False,
+            timeout_graceful_shutdown=None,
+        )
+    )
+
+
+async def run_listener(listener: Listener, listening) -> None:
+    """Serve until told to exit, then finish the open requests."""
+    await listener.serve(sockets=[listening])
+
+
+def stop_listener(listener: Listener) -> None:
+    """Have a listener take no more connections and finish its work."""
+    listener.should_exit = True
+
+
+async def wait_for_end(tasks: list[asyncio.Task], seconds: float) -> None:
+    """Wait for listeners to finish, for so long at most."""
+    if tasks:
+        await asyncio.wait(tasks, timeout=seconds)
--- /dev/null
+++ b/packages/daemon/src/apricotthread/daemon/main.py
@@ -0,0 +1,68 @@
+"""The daemon's command line."""
+
+import asyncio
+import sys
+
+import defopt
+
+from apricotthread.base import environment
+from apricotthread.base import errors
+from apricotthread.base import logs
+from apricotthread.base import settings as node_settings
+from apricotthread.daemon import node
+from apricotthread.daemon import status
+
+
+def run_node(*, settings: str, check: bool = False) -> status.ExitStatus:
+    """Run one node until it is told to stop by SIGTERM.
+
+    Example: apricotthread-node --settings a1.ini
+
+    :param settings: the INI file with the node's settings
+    :param check: only check the settings, and start nothing
+    """
+    try:
+        checked = node_settings.read_settings(settings)
+    except node_settings.SettingsError as error:
+        print(error.message, file=sys.stderr)
+        return status.ExitStatus.SETTINGS
+    if check:
+        print(f'{settings}: all settings are right')
+        return status.ExitStatus.SUCCESS
+    logs.open_log(checked.log_file)
+    env = environment.make_environment()
+    try:
+        asyncio.run(_run(checked, env))
+    except (errors.ApricotError, OSError, ExceptionGroup) as error:
+        return _report(error)
+    return status.ExitStatus.SUCCESS
+
+
+async def _run(
+    settings: node_settings.Settings, env: environment.Environment
+) -> None:
+    await node.Node(settings=settings, env=env).run()
+
+
+def _report(error: Exception) -> status.ExitStatus:
+    """Print why the node stopped, and return the status that says so.
+
+    A fault of the program itself is raised on with its traceback.
+    """
+    match error:
+        case ExceptionGroup(exceptions=exceptions):
+            return max(_report(inner) for inner in exceptions)
+        case errors.ApricotError(code=code, message=message):
+            print(f'apricotthread-node: {message}', file=sys.stderr)
+            if code is errors.ErrorCode.DAMAGED:
+                return status.ExitStatus.DAMAGED_DATA
+            return status.ExitStatus.FAILURE
+        case OSError():
+            print(f'apricotthread-node: {error}', file=sys.stderr)
+            return status.ExitStatus.FAILURE
+    raise error
+
+
+def main() -> None:
+    """Run the daemon and exit with its status."""
+    sys.exit(defopt.run(run_node))
--- /dev/null
+++ b/packages/endpoints/src/apricotthread/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Announcements from endpoints, orders to them and requests to them."""
--- /dev/null
+++ b/packages/endpoints/src/apricotthread/endpoints/announcements.py
@@ -0,0 +1,90 @@
+"""What an endpoint says of itself, and what it is told in return."""
+
+import typing
+
+import msgspec
+
+
+class Announcement(msgspec.Struct, frozen=True, kw_only=True):
+    """The state of one endpoint VM, sent about once a second.
+
+    The incarnation grows with each start, the sequence with each
+    announcement. For a group it is the head whose numbers count.
+    """
+
+    endpoint_id: str
+    incarnation: int
+    sequence: int
+    data_centre: str
+    url: str
+    kind: typing.Literal['engine', 'plain']
+    service: str = ''
+    fabric_domain: str = ''
+    accelerators: int = 0
+    checks_fencing: bool = True
+    max_requests: int = 1
+    bear_requests: int = 1
+    memory_bytes: int = 0
+    bytes_per_token: int = 1
+    used_bytes: int = 0
+    running: int = 0
+    cold: bool = False
+    leaving: bool = False
+    member_state: typing.Literal['idle', 'loading', 'ready'] = 'idle'
+    group_id: str = ''
+    fencing: int = 0
+    cached_prefixes: list[str] = []
+
+
+class AnnouncementReply(msgspec.Struct, frozen=True, kw_only=True):
+    """How often to announce, and where else if this entry goes away."""
+
+    announce_every_s: float
+    lease_s: float
+    draining: bool
+    entries: list[str]
+
+
+class Order(msgspec.Struct, frozen=True, kw_only=True):
+    """An order to an engine VM; engines that check refuse older numbers."""
+
+    action: typing.Literal['join', 'release', 'load']
+    fencing: int
+    group_id: str = ''
+    service: str = ''
+    model: str = ''
+    version: str = ''
+    rank: int = 0
+    members: list[str] = []
+
+
+class OrderAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """Whether the VM confirmed an order, and its newest number."""
+
+    confirmed: bool
+    fencing: int
+    reason: str = ''
+
+
+class GenerateRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A request to an engine; the seed makes a resumed answer the same."""
+
+    request_id: str
+    prompt: str
+    max_tokens: int
+    offset: int
+    priority: int
+    seed: str
+    group_id: str = ''
+
+
+class GeneratedPiece(msgspec.Struct, frozen=True, kw_only=True):
+    """A line of an engine's stream: tokens from the offset on, or the end.
+
+    The offset counts tokens from the start of the answer.
+    """
+
+    offset: int
+    tokens: int = 0
+    text: str = ''
+    finish: str = ''
--- /dev/null
+++ b/packages/endpoints/src/apricotthread/endpoints/application.py
@@ -0,0 +1,48 @@
+"""The HTTP interface on which endpoints announce themselves."""
+
+import collections.abc
+
+import msgspec
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from apricotthread.endpoints import announcements
+from apricotthread.endpoints import registry
+
+MAX_ANNOUNCEMENT_BYTES = 65536
+JSON = 'application/json'
+
+
+def make_application(
+    *,
+    endpoints: registry.Registry,
+    make_reply: collections.abc.Callable[[], announcements.AnnouncementReply],
+) -> applications.Starlette:
+    """Return the application for POST /announcements."""
+    decoder = msgspec.json.Decoder(announcements.Announcement)
+
+    async def announce(request: requests.Request) -> responses.Response:
+        body = bytearray()
+        async for chunk in request.stream():
+            body += chunk
+            if len(body) > MAX_ANNOUNCEMENT_BYTES:
+                return _make_refusal('the announcement is too large', 413)
+        try:
+            announcement = decoder.decode(body)
+        except msgspec.DecodeError as error:
+            return _make_refusal(str(error), 400)
+        if not endpoints.announce(announcement).accepted:
+            return _make_refusal('an older announcement came late', 409)
+        return responses.Response(
+            msgspec.json.encode(make_reply()), media_type=JSON
+        )
+
+    return applications.Starlette(
+        routes=[routing.Route('/announcements', announce, methods=['POST'])]
+    )
+
+
+def _make_refusal(message: str, status: int) -> responses.Response:
+    return responses.JSONResponse({'message': message}, status_code=status)
--- /dev/null
+++ b/packages/endpoints/src/apricotthread/endpoints/registry.py
@@ -0,0 +1,198 @@
+"""The endpoints that announce themselves to this entry."""
+
+import collections.abc
+import dataclasses
+
+from apricotthread.base import environment
+from apricotthread.base import logs
+from apricotthread.endpoints import announcements
+from apricotthread.endpoints import ramps
+
+SPEED_WEIGHT = 0.2  # weight of the newest sample in the moving average
+MEMORY_SHARE = 0.9  # share of an endpoint's memory that requests may grow to
+
+
+class Endpoint:
+    """One endpoint as this entry knows it.
+
+    Only the entry to which an endpoint announces itself dispatches to
+    it, so the sum of what entries send never passes its limit. An entry
+    that takes an endpoint over from another waits for the lease of that
+    one, and counts what the endpoint reports as running.
+    """
+
+    def __init__(
+        self,
+        *,
+        announcement: announcements.Announcement,
+        now: float,
+        usable_at: float,
+    ) -> None:
+        self.announcement = announcement
+        self.received_at = now
+        self.usable_at = usable_at
+        self.outstanding = 0
+        self.reserved_bytes = 0
+        self.inherited = announcement.running
+        self.seconds_per_token = 0.0
+        self.ramp = ramps.Ramp(
+            limit=announcement.max_requests,
+            bear=announcement.bear_requests,
+            cold=announcement.cold or announcement.sequence == 1,
+        )
+
+    @property
+    def endpoint_id(self) -> str:
+        """The name by which the endpoint announces itself."""
+        return self.announcement.endpoint_id
+
+    def update(
+        self, announcement: announcements.Announcement, now: float
+    ) -> None:
+        """Take over a newer announcement."""
+        if announcement.incarnation > self.announcement.incarnation:
+            logs.log_event(
+                'endpoint_restarted', endpoint=announcement.endpoint_id
+            )
+            self.inherited = 0
+            self.ramp.restart()
+        self.announcement = announcement
+        self.received_at = now
+        self.inherited = min(
+            self.inherited,
+            max(0, announcement.running - self.outstanding),
+        )
+        self.ramp.update(
+            limit=announcement.max_requests,
+            bear=announcement.bear_requests,
+            cold=announcement.cold,
+        )
+
+    def free_requests(self) -> int:
+        """Return how many further requests it may take now.
+
+        The load report lags, so own outstanding work counts first; the
+        report only adds what a former entry left running.
+        """
+        return max(0, self.ramp.limit - self.outstanding - self.inherited)
+
+    def free_bytes(self) -> int:
+        """Return the memory that further requests may grow to."""
+        usable = int(self.announcement.memory_bytes * MEMORY_SHARE)
+        return max(0, usable - self.reserved_bytes)
+
+    def can_take(self, growth: int) -> bool:
+        """Whether a request that may grow to so many tokens fits."""
+        return self.free_requests() > 0 and (
+            not self.announcement.memory_bytes
+            or self.free_bytes() >= self._bytes_for(growth)
+        )
+
+    def _bytes_for(self, growth: int) -> int:
+        return growth * self.announcement.bytes_per_token
+
+    def reserve(self, growth: int) -> None:
+        """Count a request that is about to be sent."""
+        self.outstanding += 1
+        self.reserved_bytes += self._bytes_for(growth)
+
+    def release(self, growth: int) -> None:
+        """Count a request that has ended."""
+        self.outstanding -= 1
+        self.reserved_bytes -= self._bytes_for(growth)
+
+    def record_speed(self, seconds_per_token: float) -> None:
+        """Average the speed of the newest answer in."""
+        if not self.seconds_per_token:
+            self.seconds_per_token = seconds_per_token
+            return
+        self.seconds_per_token += SPEED_WEIGHT * (
+            seconds_per_token - self.seconds_per_token
+        )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RegistryReply:
+    """Whether an announcement was newer than the one known."""
+
+    accepted: bool
+
+
+class Registry:
+    """The endpoints of this entry by id, with their leases."""
+
+    def __init__(
+        self,
+        *,
+        env: environment.Environment,
+        lease_s: float,
+        on_change: collections.abc.Callable[[], None],
+    ) -> None:
+        self._env = env
+        self._lease_s = lease_s
+        self._on_change = on_change
+        self.endpoint_by_id: dict[str, Endpoint] = {}
+
+    def announce(
+        self, announcement: announcements.Announcement
+    ) -> RegistryReply:
+        """Take an announcement unless a newer one came before it."""
+        now = self._env.timer.now()
+        known = self.endpoint_by_id.get(announcement.endpoint_id)
+        if known is None or not self.is_fresh(known):
+            started_here = announcement.sequence == 1
+            wait_s = 0.0 if started_here else self._lease_s
+            outstanding = known.outstanding if known is not None else 0
+            reserved = known.reserved_bytes if known is not None else 0
+            endpoint = Endpoint(
+                announcement=announcement, now=now, usable_at=now + wait_s
+            )
+            endpoint.outstanding = outstanding
+            endpoint.reserved_bytes = reserved
+            endpoint.inherited = max(0, announcement.running - outstanding)
+            self.endpoint_by_id[announcement.endpoint_id] = endpoint
+            logs.log_event(
+                'endpoint_announced', endpoint=announcement.endpoint_id
+            )
+        elif _is_newer(announcement, known.announcement):
+            known.update(announcement, now)
+        else:
+            return RegistryReply(accepted=False)
+        self._on_change()
+        return RegistryReply(accepted=True)
+
+    def is_fresh(self, endpoint: Endpoint) -> bool:
+        """Whether the endpoint announced itself within its lease."""
+        age_s = self._env.timer.now() - endpoint.received_at
+        return age_s <= self._lease_s
+
+    def is_usable(self, endpoint: Endpoint) -> bool:
+        """Whether new work may go to the endpoint, by its own word."""
+        return (
+            self.is_fresh(endpoint)
+            and self._env.timer.now() >= endpoint.usable_at
+            and not endpoint.announcement.leaving
+        )
+
+    def age_s(self, endpoint: Endpoint) -> float:
+        """Return the seconds since the endpoint's last announcement."""
+        return self._env.timer.now() - endpoint.received_at
+
+    def forget_silent(self) -> None:
+        """Forget endpoints that have long been silent and hold no work."""
+        oldest = self._env.timer.now() - 10 * self._lease_s
+        self.endpoint_by_id = {
+            name: endpoint
+            for name, endpoint in self.endpoint_by_id.items()
+            if endpoint.received_at >= oldest or endpoint.outstanding
+        }
+
+
+def _is_newer(
+    announcement: announcements.Announcement,
+    known: announcements.Announcement,
+) -> bool:
+    return (announcement.incarnation, announcement.sequence) > (
+        known.incarnation,
+        known.sequence,
+    )
--- /dev/null
+++ b/packages/fakes/src/apricotthread/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for engines, plain workers, callers, disks and links."""
--- /dev/null
+++ b/packages/fakes/src/apricotthread/fakes/announcers.py
@@ -0,0 +1,62 @@
+"""How a fake endpoint announces itself, and moves on to another entry."""
+
+import collections.abc
+
+import aiohttp
+import msgspec
+
+from apricotthread.base import environment
+from apricotthread.endpoints import announcements
+
+ANNOUNCE_S = 0.5
+TIMEOUT_S = 1.0
+
+
+class Announcer:
+    """Announces one endpoint to one entry at a time."""
+
+    def __init__(
+        self,
+        *,
+        env: environment.Environment,
+        make_announcement: collections.abc.Callable[
+            [], announcements.Announcement | None
+        ],
+        entries: list[str],
+        first: int,
+    ) -> None:
+        self._env = env
+        self._make_announcement = make_announcement
+        self._entries = entries
+        self._current = first % len(entries)
+
+    async def run(self) -> None:
+        """Announce until cancelled."""
+        timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            async for _ in self._env.timer.subscribe(period_s=ANNOUNCE_S):
+                announcement = self._make_announcement()
+                if announcement is None:
+                    continue
+                if not await self._send(session, announcement):
+                    self._current = (self._current + 1) % len(self._entries)
+
+    async def _send(
+        self,
+        session: aiohttp.ClientSession,
+        announcement: announcements.Announcement,
+    ) -> bool:
+        """Send one announcement; False when the entry is of no use."""
+        url = f'{self._entries[self._current]}/announcements'
+        body = msgspec.json.encode(announcement)
+        try:
+            async with session.post(url, data=body) as response:
+                raw = await response.read()
+                if response.status != 200:
+                    return response.status == 409
+                reply = msgspec.json.decode(
+                    raw, type=announcements.AnnouncementReply
+                )
+                return not (reply.draining and len(self._entries) > 1)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
--- /dev/null
+++ b/packages/fakes/src/apricotthread/fakes/localsystem.py
@@ -0,0 +1,312 @@
+"""A whole system on loopback: settings, node processes and fakes."""
+
+import asyncio
+import contextlib
+import dataclasses
+import hashlib
+import os
+import pathlib
+import signal
+import socket
+import sys
+
+import aiohttp
+import msgspec
+
+from apricotthread.control import commands
+from apricotthread.control import tables
+from apricotthread.operators import bodies
+
+HOST = '127.0.0.1'
+READY_TIMEOUT_S = 30.0
+POLL_S = 0.1
+STOP_TIMEOUT_S = 30.0
+
+SETTINGS = """\
+[node]
+id = {node_id}
+data_centre = {data_centre}
+data_folder = {data_folder}
+
+[listen]
+host = {host}
+caller_port = {caller_port}
+endpoint_port = {endpoint_port}
+operator_port = {operator_port}
+
+[nodes]
+{nodes}
+
+[log]
+file = {log_file}
+
+[timing]
+{timing}
+[limits]
+{limits}
+"""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NodePlan:
+    """One node of a local system."""
+
+    node_id: str
+    data_centre: str
+    is_voter: bool
+    peer_port: int
+    caller_port: int
+    endpoint_port: int
+    operator_port: int
+
+    @property
+    def caller_url(self) -> str:
+        """Where callers reach the node."""
+        return f'http://{HOST}:{self.caller_port}'
+
+    @property
+    def endpoint_url(self) -> str:
+        """Where endpoints announce themselves."""
+        return f'http://{HOST}:{self.endpoint_port}'
+
+    @property
+    def operator_url(self) -> str:
+        """Where operators reach the node."""
+        return f'http://{HOST}:{self.operator_port}'
+
+
+def find_free_ports(count: int) -> list[int]:
+    """Return ports that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for opened in sockets:
+            opened.bind((HOST, 0))
+        return [opened.getsockname()[1] for opened in sockets]
+    finally:
+        for opened in sockets:
+            opened.close()
+
+
+def plan_nodes(data_centres: list[str], per_data_centre: int):
+    """Return nodes for each data centre, the first of each a voter."""
+    names = [
+        (name, number)
+        for name in data_centres
+        for number in range(1, per_data_centre + 1)
+    ]
+    ports = iter(find_free_ports(4 * len(names)))
+    return [
+        NodePlan(
+            node_id=f'{name}-{number}',
+            data_centre=name,
+            is_voter=number == 1,
+            peer_port=next(ports),
+            caller_port=next(ports),
+            endpoint_port=next(ports),
+            operator_port=next(ports),
+        )
+        for name, number in names
+    ]
+
+
+def digest_key(key: str) -> str:
+    """Return the digest of an account's key as the table has it."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+class LocalSystem:
+    """Node processes on loopback, started and stopped by id."""
+
+    def __init__(
+        self,
+        *,
+        folder: pathlib.Path,
+        nodes: list[NodePlan],
+        timing: dict[str, str] | None = None,
+        limits: dict[str, str] | None = None,
+    ) -> None:
+        self.folder = folder
+        self.plan_by_id = {plan.node_id: plan for plan in nodes}
+        self._timing = timing or {}
+        self._limits = limits or {}
+        self.process_by_id: dict[str, asyncio.subprocess.Process] = {}
+
+    def settings_path(self, node_id: str) -> pathlib.Path:
+        """Return where a node's settings file stands."""
+        return self.folder / f'{node_id}.ini'
+
+    def log_path(self, node_id: str) -> pathlib.Path:
+        """Return where a node's log stands."""
+        return self.folder / f'{node_id}.log'
+
+    def write_settings(self) -> None:
+        """Write the settings file of every node."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        rows = [
+            f'{p.node_id} = {p.data_centre} {HOST}:{p.peer_port} '
+            + ('entry,control' if p.is_voter else 'entry')
+            for p in self.plan_by_id.values()
+        ]
+        for plan in self.plan_by_id.values():
+            data_folder = self.folder / f'{plan.node_id}.data'
+            text = SETTINGS.format(
+                node_id=plan.node_id,
+                data_centre=plan.data_centre,
+                data_folder=data_folder if plan.is_voter else '',
+                host=HOST,
+                caller_port=plan.caller_port,
+                endpoint_port=plan.endpoint_port,
+                operator_port=plan.operator_port,
+                nodes='\n'.join(rows),
+                log_file=self.log_path(plan.node_id),
+                timing=_format_keys(self._timing),
+                limits=_format_keys(self._limits),
+            )
+            self.settings_path(plan.node_id).write_text(text)
+
+    async def start_node(self, node_id: str) -> None:
+        """Start one node process."""
+        daemon = pathlib.Path(sys.executable).with_name('apricotthread-node')
+        with open(self.folder / f'{node_id}.out', 'ab') as out:
+            process = await asyncio.create_subprocess_exec(
+                str(daemon),
+                '--settings',
+                str(self.settings_path(node_id)),
+                stdout=out,
+                stderr=out,
+            )
+        self.process_by_id[node_id] = process
+
+    async def start(self) -> None:
+        """Write the settings and start every node."""
+        self.write_settings()
+        for node_id in self.plan_by_id:
+            await self.start_node(node_id)
+
+    def signal_node(self, node_id: str, number: signal.Signals) -> None:
+        """Send a signal to one node process."""
+        self.process_by_id[node_id].send_signal(number)
+
+    async def stop_node(self, node_id: str) -> int:
+        """Stop one node gracefully; return its exit status."""
+        process = self.process_by_id.pop(node_id)
+        if process.returncode is None:
+            process.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                return await process.wait()
+        except TimeoutError:
+            process.kill()
+            return await process.wait()
+
+    async def kill_node(self, node_id: str) -> None:
+        """Kill one node as a crash would."""
+        process = self.process_by_id.pop(node_id)
+        process.kill()
+        await process.wait()
+
+    async def stop(self) -> dict[str, int]:
+        """Stop every node; return the exit statuses by node."""
+        names = list(self.process_by_id)
+        statuses = await asyncio.gather(*(self.stop_node(n) for n in names))
+        return dict(zip(names, statuses, strict=True))
+
+    async def wait_until_ready(self, session: aiohttp.ClientSession) -> None:
+        """Return once every node that runs is ready for callers."""
+        for node_id in self.process_by_id:
+            url = self.plan_by_id[node_id].caller_url + '/readyz'
+            await wait_for_status(session, url, 200)
+
+    async def wait_for_leader(self, session: aiohttp.ClientSession) -> str:
+        """Return the leader's id once a node knows one."""
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while True:
+                for node_id in self.process_by_id:
+                    status = await self.try_status(session, node_id)
+                    if status is not None and status.leader:
+                        return status.leader
+                await asyncio.sleep(POLL_S)
+
+    async def try_status(
+        self, session: aiohttp.ClientSession, node_id: str
+    ) -> bodies.StatusBody | None:
+        """Return the status as one node sees it, None if it is down."""
+        url = self.plan_by_id[node_id].operator_url + '/status'
+        with contextlib.suppress(aiohttp.ClientError, OSError):
+            async with session.get(url) as response:
+                return msgspec.json.decode(
+                    await response.read(), type=bodies.StatusBody
+                )
+        return None
+
+    async def change_rows(
+        self,
+        session: aiohttp.ClientSession,
+        node_id: str,
+        rows: list[tables.AnyRow],
+        *,
+        command_id: str | None = None,
+        base_version: int = 10**9,
+    ) -> bodies.OutcomeBody:
+        """Set rows of the table by way of one node."""
+        body = bodies.ChangeBody(
+            command_id=command_id or os.urandom(8).hex(),
+            operator='local',
+            base_version=base_version,
+            edits=[
+                commands.RowEdit(key=tables.key_of(row), row=row)
+                for row in rows
+            ],
+        )
+        return await self._post(session, node_id, '/changes', body)
+
+    async def mark_data_centre(
+        self,
+        session: aiohttp.ClientSession,
+        node_id: str,
+        name: str,
+        *,
+        out: bool,
+    ) -> bodies.OutcomeBody:
+        """Take a data centre out or bring it back by way of one node."""
+        body = bodies.MarkBody(
+            command_id=os.urandom(8).hex(),
+            operator='local',
+            base_version=10**9,
+            out=out,
+        )
+        return await self._post(
+            session, node_id, f'/data-centres/{name}', body
+        )
+
+    async def _post(
+        self,
+        session: aiohttp.ClientSession,
+        node_id: str,
+        path: str,
+        body: msgspec.Struct,
+    ) -> bodies.OutcomeBody:
+        url = self.plan_by_id[node_id].operator_url + path
+        async with session.post(
+            url, data=msgspec.json.encode(body)
+        ) as response:
+            return msgspec.json.decode(
+                await response.read(), type=bodies.OutcomeBody
+            )
+
+
+def _format_keys(value_by_key: dict[str, str]) -> str:
+    return ''.join(f'{k} = {v}\n' for k, v in value_by_key.items())
+
+
+async def wait_for_status(
+    session: aiohttp.ClientSession, url: str, status: int
+) -> None:
+    """Return once a URL answers with the status."""
+    async with asyncio.timeout(READY_TIMEOUT_S):
+        while True:
+            with contextlib.suppress(aiohttp.ClientError, OSError):
+                async with session.get(url) as response:
+                    if response.status == status:
+                        return
+            await asyncio.sleep(POLL_S)
--- /dev/null
+++ b/packages/fakes/src/apricotthread/fakes/workers.py
@@ -0,0 +1,138 @@
+"""A fake plain worker, which counts what it ran."""
+
+import asyncio
+import collections
+
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from apricotthread.base import environment
+from apricotthread.endpoints import announcements
+from apricotthread.fakes import announcers
+
+METHODS = ['GET', 'POST', 'PUT', 'DELETE']
+
+
+class PlainWorker:
+    """One fake worker of a plain service."""
+
+    def __init__(
+        self,
+        *,
+        env: environment.Environment,
+        endpoint_id: str,
+        data_centre: str,
+        service: str,
+        url: str,
+        max_requests: int = 16,
+        work_s: float = 0.005,
+    ) -> None:
+        self._env = env
+        self.endpoint_id = endpoint_id
+        self.data_centre = data_centre
+        self.service = service
+        self.url = url
+        self.max_requests = max_requests
+        self.work_s = work_s
+        self.sequence = 0
+        self.running = 0
+        self.dead = False
+        self.drop_answers = False
+
+    def announce(self) -> announcements.Announcement | None:
+        """Return the next announcement, None while dead."""
+        if self.dead:
+            return None
+        self.sequence += 1
+        return announcements.Announcement(
+            endpoint_id=self.endpoint_id,
+            incarnation=1,
+            sequence=self.sequence,
+            data_centre=self.data_centre,
+            url=self.url,
+            kind='plain',
+            service=self.service,
+            max_requests=self.max_requests,
+            bear_requests=self.max_requests,
+            running=self.running,
+        )
+
+
+class WorkerPool:
+    """Fake workers behind one HTTP server, with one count of runs.
+
+    A run is counted by the caller's own number in the body, so that two
+    runs of one call show, whichever workers they reached.
+    """
+
+    def __init__(self, *, env: environment.Environment, base_url: str) -> None:
+        self._env = env
+        self._base_url = base_url
+        self.worker_by_id: dict[str, PlainWorker] = {}
+        self.runs_by_call = collections.Counter()
+
+    def add_worker(
+        self, *, endpoint_id: str, data_centre: str, service: str
+    ) -> PlainWorker:
+        """Add a worker to the pool."""
+        worker = PlainWorker(
+            env=self._env,
+            endpoint_id=endpoint_id,
+            data_centre=data_centre,
+            service=service,
+            url=f'{self._base_url}/workers/{endpoint_id}',
+        )
+        self.worker_by_id[endpoint_id] = worker
+        return worker
+
+    async def run_announcements(
+        self, entries_by_data_centre: dict[str, list[str]]
+    ) -> None:
+        """Announce every worker to an entry of its data centre."""
+        async with asyncio.TaskGroup() as tasks:
+            for index, worker in enumerate(self.worker_by_id.values()):
+                announcer = announcers.Announcer(
+                    env=self._env,
+                    make_announcement=worker.announce,
+                    entries=entries_by_data_centre[worker.data_centre],
+                    first=index,
+                )
+                tasks.create_task(announcer.run())
+
+    def make_routes(self) -> list[routing.Route]:
+        """Return the HTTP routes of the whole pool."""
+        return [
+            routing.Route(
+                '/workers/{worker}/{path:path}', self._work, methods=METHODS
+            ),
+            routing.Route('/runs', self._show_runs),
+        ]
+
+    def make_application(self) -> applications.Starlette:
+        """Return the HTTP application of the whole pool."""
+        return applications.Starlette(routes=self.make_routes())
+
+    async def _work(self, request: requests.Request) -> responses.Response:
+        worker = self.worker_by_id[request.path_params['worker']]
+        body = await request.body()
+        worker.running += 1
+        try:
+            if request.method != 'GET':
+                self.runs_by_call[body.decode()] += 1
+            await self._env.timer.sleep(worker.work_s)
+        finally:
+            worker.running -= 1
+        return responses.JSONResponse(
+            {
+                'worker': worker.endpoint_id,
+                'path': request.path_params['path'],
+                'echo': body.decode(),
+            }
+        )
+
+    async def _show_runs(
+        self, request: requests.Request
+    ) -> responses.Response:
+        return responses.JSONResponse(dict(self.runs_by_call))
--- /dev/null
+++ b/packages/groups/src/apricotthread/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Assembly, repair and release of groups of engine VMs."""
--- /dev/null
+++ b/packages/groups/src/apricotthread/groups/manager.py
@@ -0,0 +1,430 @@
+"""The leader's task that keeps groups as the table wants them."""
+
+import asyncio
+import dataclasses
+
+from apricotthread.base import environment
+from apricotthread.base import errors
+from apricotthread.base import logs
+from apricotthread.base import units
+from apricotthread.control import commands
+from apricotthread.control import replica
+from apricotthread.control import state
+from apricotthread.endpoints import announcements
+from apricotthread.endpoints import client
+from apricotthread.groups import planner
+from apricotthread.nodes import messages
+from apricotthread.routing import view
+
+PLAN_PERIOD_S = 0.5
+ORDER_TIMEOUT_S = 0.5
+PROBE_TIMEOUT_S = 2.0
+ASSEMBLY_TIMEOUT_S = 120.0  # loading the weights of a large model is slow
+DRAIN_GRACE_S = 2.0  # until every entry has heard that a group drains
+PROBE_TOKENS = 1
+PROBE_ACTION = 'probe'
+
+
+@dataclasses.dataclass(kw_only=True)
+class Downtime:
+    """Sums over time of what should serve and does not."""
+
+    group_s: float = 0.0
+    stranded_accelerator_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Probe:
+    """A request through a whole group, before it may serve."""
+
+    group_id: str
+    fencing: int
+
+
+def make_order_request(
+    endpoint_id: str, order: announcements.Order | Probe
+) -> messages.OrderRequest:
+    """Return the message that has an entry pass an order on."""
+    match order:
+        case Probe():
+            return messages.OrderRequest(
+                endpoint_id=endpoint_id,
+                action=PROBE_ACTION,
+                fencing=order.fencing,
+                group_id=order.group_id,
+                service='',
+                model='',
+                model_version='',
+                rank=0,
+                members=[],
+                timeout_ms=int(PROBE_TIMEOUT_S * units.MS_PER_S),
+            )
+        case announcements.Order():
+            return messages.OrderRequest(
+                endpoint_id=endpoint_id,
+                action=order.action,
+                fencing=order.fencing,
+                group_id=order.group_id,
+                service=order.service,
+                model=order.model,
+                model_version=order.version,
+                rank=order.rank,
+                members=order.members,
+                timeout_ms=int(ORDER_TIMEOUT_S * units.MS_PER_S),
+            )
+
+
+class GroupManager:
+    """Plans and carries out changes of groups while this node leads."""
+
+    def __init__(
+        self,
+        *,
+        env: environment.Environment,
+        system: view.SystemView,
+        agreed: replica.Replica,
+        endpoint_client: client.EndpointClient,
+        lease_s: float,
+    ) -> None:
+        self._env = env
+        self._system = system
+        self._agreed = agreed
+        self._client = endpoint_client
+        self._lease_s = lease_s
+        self._leading_since: float | None = None
+        self._assembling_since: dict[int, float] = {}
+        self._draining_since: dict[int, float] = {}
+        self.downtime = Downtime()
+
+    async def run(self) -> None:
+        """Plan again and again until cancelled."""
+        async for _ in self._env.timer.subscribe(period_s=PLAN_PERIOD_S):
+            if not self._agreed.holds_lease():
+                self._leading_since = None
+                self._assembling_since.clear()
+                self._draining_since.clear()
+                continue
+            if self._leading_since is None:
+                self._leading_since = self._env.timer.now()
+            try:
+                await self._run_plan()
+            except errors.ApricotError as error:
+                logs.log_fault('group_plan_failed', error)
+
+    def _knows_vms(self) -> bool:
+        """Whether a new leader has had time to hear of every VM."""
+        led_s = self._env.timer.now() - self._leading_since
+        return led_s >= self._lease_s + ORDER_TIMEOUT_S
+
+    async def _run_plan(self) -> None:
+        if not self._knows_vms():
+            return
+        given = self._make_input()
+        self._measure(given)
+        actions = planner.make_plan(given)
+        await asyncio.gather(*(self._carry_out(a) for a in actions))
+
+    def _make_input(self) -> planner.PlanInput:
+        content = self._agreed.state.content
+        groups = tuple(content.group_by_id.values())
+        self._assembling_since = self._time_states(
+            groups, 'assembling', self._assembling_since
+        )
+        self._draining_since = self._time_states(
+            groups, 'draining', self._draining_since
+        )
+        return planner.PlanInput(
+            table=content.table,
+            groups=groups,
+            vm_by_id=self._vm_by_id(),
+            stuck_group_ids=self._older_than(
+                groups, self._assembling_since, ASSEMBLY_TIMEOUT_S
+            ),
+            drained_group_ids=self._older_than(
+                groups, self._draining_since, DRAIN_GRACE_S
+            ),
+        )
+
+    def _time_states(
+        self,
+        groups: tuple[state.Group, ...],
+        name: str,
+        since_by_fencing: dict[int, float],
+    ) -> dict[int, float]:
+        """Return since when each group is in the state, by its number."""
+        now = self._env.timer.now()
+        return {
+            group.fencing: since_by_fencing.get(group.fencing, now)
+            for group in groups
+            if group.state == name
+        }
+
+    def _older_than(
+        self,
+        groups: tuple[state.Group, ...],
+        since_by_fencing: dict[int, float],
+        age_s: float,
+    ) -> frozenset[str]:
+        oldest = self._env.timer.now() - age_s
+        return frozenset(
+            group.group_id
+            for group in groups
+            if since_by_fencing.get(group.fencing, oldest) < oldest
+        )
+
+    def _vm_by_id(self) -> dict[str, planner.Vm]:
+        node_by_id = self._system.members.node_by_id
+        vm_by_id = {}
+        for endpoint_id, report in self._system.vm_reports().items():
+            home = self._system.home_of(endpoint_id)
+            if home is None:
+                continue
+            vm_by_id[endpoint_id] = planner.Vm(
+                report=report,
+                data_centre=node_by_id[home].data_centre,
+                fresh=self._system.is_fresh(report),
+            )
+        return vm_by_id
+
+    def _measure(self, given: planner.PlanInput) -> None:
+        """Add up group downtime and stranded accelerators."""
+        down = sum(
+            1
+            for group in given.groups
+            if group.members
+            and (
+                group.state != 'serving' or planner.lost_members(group, given)
+            )
+        )
+        serving = {
+            member.endpoint_id
+            for group in given.groups
+            if group.state == 'serving'
+            and not planner.lost_members(group, given)
+            for member in group.members
+        }
+        stranded = sum(
+            vm.report.accelerators
+            for endpoint_id, vm in given.vm_by_id.items()
+            if vm.fresh and endpoint_id not in serving
+        )
+        self.downtime.group_s += down * PLAN_PERIOD_S
+        self.downtime.stranded_accelerator_s += stranded * PLAN_PERIOD_S
+        metrics = self._env.metrics
+        metrics.set_gauge('groups_down', down)
+        metrics.set_gauge('accelerators_stranded', stranded)
+        metrics.set_gauge('group_downtime_seconds', self.downtime.group_s)
+        metrics.set_gauge(
+            'stranded_accelerator_seconds',
+            self.downtime.stranded_accelerator_s,
+        )
+
+    async def _carry_out(self, action: planner.Action) -> None:
+        match action:
+            case planner.Assemble():
+                await self._propose(
+                    commands.AssembleGroup(
+                        group_id=self._env.new_id()[:12],
+                        service=action.service.name,
+                        model=action.service.model,
+                        version=action.service.version,
+                        data_centre=action.domain.data_centre,
+                        fabric_domain=action.domain.name,
+                        members=list(action.members),
+                    )
+                )
+            case planner.Repair(group=group, members=members):
+                await self._propose(
+                    commands.RepairGroup(
+                        group_id=group.group_id,
+                        fencing=group.fencing,
+                        members=list(members),
+                    )
+                )
+            case planner.Drain(group=group):
+                await self._set_state(group, 'draining')
+            case planner.Dissolve(group=group):
+                await self._propose(
+                    commands.DissolveGroup(
+                        group_id=group.group_id, fencing=group.fencing
+                    )
+                )
+            case planner.Release(group=group, endpoint_id=endpoint_id):
+                await self._propose(
+                    commands.ReleaseVm(
+                        group_id=group.group_id, endpoint_id=endpoint_id
+                    )
+                )
+            case planner.OrderRelease(group=group, endpoint_id=endpoint_id):
+                order = announcements.Order(
+                    action='release', fencing=group.fencing
+                )
+                await self._order(endpoint_id, order)
+            case planner.Advance(group=group):
+                await self._advance(group)
+
+    async def _propose(self, command: commands.AnyCommand) -> None:
+        """Have a ledger change agreed; the next plan sees what came of it."""
+        payload = commands.encode_command(command)
+        result = await self._agreed.propose_as_leader(payload)
+        kind = type(command).__struct_config__.tag
+        logs.log_event(
+            'ledger_change',
+            change=kind,
+            result=result.code or 'accepted',
+            fencing=result.group_fencing,
+        )
+        self._env.metrics.count(f'ledger_{kind}')
+
+    async def _set_state(self, group: state.Group, name: str) -> None:
+        await self._propose(
+            commands.SetGroupState(
+                group_id=group.group_id, fencing=group.fencing, state=name
+            )
+        )
+
+    async def _advance(self, group: state.Group) -> None:
+        """Order who has not joined yet; serve when all have, and a probe."""
+        reports = self._system.vm_reports()
+        missing = [
+            (rank, member)
+            for rank, member in enumerate(group.members)
+            if not self._system.member_is_ready(
+                group, reports.get(member.endpoint_id)
+            )
+        ]
+        if not missing:
+            if await self._order(
+                group.head.endpoint_id,
+                Probe(group_id=group.group_id, fencing=group.fencing),
+            ):
+                await self._set_state(group, 'serving')
+            return
+        urls = [member.url for member in group.members]
+        await asyncio.gather(
+            *(
+                self._order(
+                    member.endpoint_id,
+                    announcements.Order(
+                        action='join',
+                        fencing=group.fencing,
+                        group_id=group.group_id,
+                        service=group.service,
+                        model=group.model,
+                        version=group.version,
+                        rank=rank,
+                        members=urls,
+                    ),
+                )
+                for rank, member in missing
+                if not self._has_joined(group, reports, member)
+            )
+        )
+
+    def _has_joined(
+        self,
+        group: state.Group,
+        reports: dict[str, messages.VmReport],
+        member: commands.GroupMember,
+    ) -> bool:
+        """Whether a VM has the order and is loading."""
+        report = reports.get(member.endpoint_id)
+        return report is not None and (
+            report.group_id == group.group_id
+            and report.fencing == group.fencing
+        )
+
+    async def _order(
+        self, endpoint_id: str, order: announcements.Order | Probe
+    ) -> bool:
+        """Send an order to a VM through the entry that it announces to.
+
+        It goes out only while this node's lease outlasts it.
+        """
+        home = self._system.home_of(endpoint_id)
+        if home is None or self._agreed.lease_remaining_s() < ORDER_TIMEOUT_S:
+            return False
+        request = make_order_request(endpoint_id, order)
+        if home == self._system.own.node_id:
+            reply = await self._pass_on(request)
+        else:
+            link = self._system.members.link_by_id[home]
+            reply = await link.try_call(
+                request, timeout_s=request.timeout_ms / units.MS_PER_S
+            )
+        confirmed = isinstance(reply, messages.OrderReply) and reply.confirmed
+        logs.log_event(
+            'order_sent',
+            endpoint=endpoint_id,
+            action=request.action,
+            fencing=order.fencing,
+            confirmed=confirmed,
+        )
+        return confirmed
+
+    async def on_order_request(
+        self, peer: messages.Greeting, body: messages.OrderRequest
+    ) -> messages.Message:
+        """Pass an order of the leader on to a VM of this entry.
+
+        Only the node that this one follows may give orders.
+        """
+        if peer.node_id != self._agreed.leader_id:
+            raise errors.ApricotError(
+                code=errors.ErrorCode.NOT_LEADER,
+                message=f'{peer.node_id} is not the leader',
+            )
+        return await self._pass_on(body)
+
+    async def _pass_on(
+        self, body: messages.OrderRequest
+    ) -> messages.OrderReply:
+        try:
+            endpoint = self._system.find_endpoint(body.endpoint_id)
+        except KeyError:
+            return messages.OrderReply(
+                confirmed=False, reason='the VM is not known here'
+            )
+        if body.action == PROBE_ACTION:
+            answered = await self._probe(body, endpoint.announcement.url)
+            return messages.OrderReply(confirmed=answered, reason='')
+        answer = await self._client.order(
+            endpoint.announcement.url,
+            announcements.Order(
+                action=body.action,
+                fencing=body.fencing,
+                group_id=body.group_id,
+                service=body.service,
+                model=body.model,
+                version=body.model_version,
+                rank=body.rank,
+                members=body.members,
+            ),
+            timeout_s=body.timeout_ms / units.MS_PER_S,
+        )
+        return messages.OrderReply(
+            confirmed=answer.confirmed, reason=answer.reason
+        )
+
+    async def _probe(self, body: messages.OrderRequest, url: str) -> bool:
+        """Whether the whole group generates a token."""
+        request = announcements.GenerateRequest(
+            request_id=f'probe-{body.group_id}-{body.fencing}',
+            prompt='probe',
+            max_tokens=PROBE_TOKENS,
+            offset=0,
+            priority=0,
+            seed='probe',
+            group_id=body.group_id,
+        )
+        try:
+            async with self._env.timer.timeout(
+                body.timeout_ms / units.MS_PER_S
+            ):
+                async with self._client.generate(url, request) as pieces:
+                    async for piece in pieces:
+                        if piece.finish:
+                            return True
+        except (TimeoutError, errors.ApricotError):
+            pass
+        return False
--- /dev/null
+++ b/packages/groups/src/apricotthread/groups/planner.py
@@ -0,0 +1,438 @@
+"""What to do with each VM and group next: pure decisions.
+
+The plan follows from the table, the ledger and what the VMs announced.
+It only ever takes VMs that announced themselves idle and that the
+ledger holds for nobody.
+"""
+
+import collections
+import dataclasses
+
+from apricotthread.control import commands
+from apricotthread.control import state
+from apricotthread.control import tables
+from apricotthread.nodes import messages
+
+IDLE = 'idle'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FabricDomain:
+    """A fabric domain of a data centre."""
+
+    data_centre: str
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Vm:
+    """An engine VM as the leader sees it."""
+
+    report: messages.VmReport
+    data_centre: str
+    fresh: bool
+
+    @property
+    def domain(self) -> FabricDomain:
+        """Where the VM stands."""
+        return FabricDomain(
+            data_centre=self.data_centre, name=self.report.fabric_domain
+        )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Assemble:
+    """Enter a new group into the ledger."""
+
+    service: tables.ServiceRow
+    domain: FabricDomain
+    members: tuple[commands.GroupMember, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Repair:
+    """Replace the lost members of a group by idle VMs of its domain."""
+
+    group: state.Group
+    members: tuple[commands.GroupMember, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Drain:
+    """Stop new work to a group that is to end."""
+
+    group: state.Group
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Dissolve:
+    """End a group."""
+
+    group: state.Group
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Release:
+    """Free a VM that has left its group."""
+
+    group: state.Group
+    endpoint_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class OrderRelease:
+    """Order a VM to leave its group."""
+
+    group: state.Group
+    endpoint_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Advance:
+    """Order members to join, and have the group serve when all have."""
+
+    group: state.Group
+
+
+Action = (
+    Assemble | Repair | Drain | Dissolve | Release | OrderRelease | Advance
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PlanInput:
+    """Everything that the plan follows from."""
+
+    table: tables.Table
+    groups: tuple[state.Group, ...]
+    vm_by_id: dict[str, Vm]
+    stuck_group_ids: frozenset[str] = frozenset()
+    drained_group_ids: frozenset[str] = frozenset()
+
+
+def make_plan(given: PlanInput) -> list[Action]:
+    """Return the next actions; each is safe to repeat."""
+    return [
+        *_plan_departed(given),
+        *_plan_existing(given),
+        *_plan_new(given),
+    ]
+
+
+def _plan_departed(given: PlanInput) -> list[Action]:
+    """Free the VMs that have left, and order the others to."""
+    actions: list[Action] = []
+    for group in given.groups:
+        for member in group.departed:
+            vm = given.vm_by_id.get(member.endpoint_id)
+            if vm is None or not vm.fresh:
+                continue
+            if has_left(group, member, vm.report):
+                actions.append(
+                    Release(group=group, endpoint_id=member.endpoint_id)
+                )
+            else:
+                actions.append(
+                    OrderRelease(group=group, endpoint_id=member.endpoint_id)
+                )
+    return actions
+
+
+def has_left(
+    group: state.Group,
+    member: commands.GroupMember,
+    report: messages.VmReport,
+) -> bool:
+    """Whether a VM is surely out of its group.
+
+    That is so for a new incarnation, and for one that announces idle
+    under a number at least that of the order to leave.
+    """
+    if report.incarnation > member.incarnation:
+        return report.member_state == IDLE
+    return (
+        report.incarnation == member.incarnation
+        and report.member_state == IDLE
+        and not report.group_id
+        and report.fencing >= group.fencing
+    )
+
+
+def lost_members(
+    group: state.Group, given: PlanInput
+) -> list[commands.GroupMember]:
+    """Return the members that can not serve in the group any more."""
+    return [
+        member
+        for member in group.members
+        if not _can_serve(group, member, given)
+    ]
+
+
+def _can_serve(
+    group: state.Group, member: commands.GroupMember, given: PlanInput
+) -> bool:
+    vm = given.vm_by_id.get(member.endpoint_id)
+    if vm is None or not vm.fresh or vm.report.leaving:
+        return False
+    report = vm.report
+    if report.incarnation != member.incarnation:
+        return False
+    if group.state == 'assembling':
+        is_ready = (
+            report.member_state == 'ready' and report.fencing == group.fencing
+        )
+        return is_ready or group.group_id not in given.stuck_group_ids
+    return report.group_id == group.group_id and report.fencing == (
+        group.fencing
+    )
+
+
+def _plan_existing(given: PlanInput) -> list[Action]:
+    """Repair, end or advance each group that is in the ledger."""
+    actions: list[Action] = []
+    idle = _idle_by_domain(given)
+    services = given.table.service_by_name()
+    for group in given.groups:
+        if not group.members:
+            continue
+        lost = lost_members(group, given)
+        if group.state == 'draining':
+            if _has_broken(lost, given) or _is_drained(group, given):
+                actions.append(Dissolve(group=group))
+        elif lost:
+            actions.append(_plan_loss(group, lost, idle, given))
+        elif group.state == 'assembling':
+            actions.append(Advance(group=group))
+    actions.extend(_plan_changes(given, services))
+    return actions
+
+
+def _is_drained(group: state.Group, given: PlanInput) -> bool:
+    """Whether every entry stopped new work and no old work runs."""
+    vm = given.vm_by_id.get(group.head.endpoint_id)
+    is_idle = vm is None or vm.report.running == 0
+    return is_idle and group.group_id in given.drained_group_ids
+
+
+def _has_broken(lost: list[commands.GroupMember], given: PlanInput) -> bool:
+    """Whether a member was lost, and did not just say that it leaves."""
+    return any(not _is_leaving(member, given) for member in lost)
+
+
+def _is_leaving(member: commands.GroupMember, given: PlanInput) -> bool:
+    vm = given.vm_by_id.get(member.endpoint_id)
+    return (
+        vm is not None
+        and vm.fresh
+        and vm.report.leaving
+        and vm.report.incarnation == member.incarnation
+    )
+
+
+def _plan_loss(
+    group: state.Group,
+    lost: list[commands.GroupMember],
+    idle: dict[FabricDomain, list[Vm]],
+    given: PlanInput,
+) -> Action:
+    """Replace lost members from the same domain, else end the group.
+
+    A member that only leaves still answers what it has; the group then
+    drains first.
+    """
+    only_leaving = not _has_broken(lost, given)
+    if only_leaving and group.state == 'serving':
+        return Drain(group=group)
+    domain = FabricDomain(
+        data_centre=group.data_centre, name=group.fabric_domain
+    )
+    spares = idle.get(domain, [])
+    if len(spares) < len(lost):
+        return Dissolve(group=group)
+    replacements = [make_member(vm) for vm in spares[: len(lost)]]
+    del spares[: len(lost)]
+    survivors = [member for member in group.members if member not in lost]
+    return Repair(group=group, members=(*survivors, *replacements))
+
+
+def make_member(vm: Vm) -> commands.GroupMember:
+    """Return the ledger entry for a VM."""
+    return commands.GroupMember(
+        endpoint_id=vm.report.endpoint_id,
+        incarnation=vm.report.incarnation,
+        url=vm.report.url,
+    )
+
+
+def _idle_by_domain(given: PlanInput) -> dict[FabricDomain, list[Vm]]:
+    """Return the VMs that are free to be taken, by domain."""
+    held = {
+        member.endpoint_id
+        for group in given.groups
+        for member in (*group.members, *group.departed)
+    }
+    idle: dict[FabricDomain, list[Vm]] = collections.defaultdict(list)
+    for endpoint_id, vm in sorted(given.vm_by_id.items()):
+        is_idle = (
+            vm.fresh
+            and not vm.report.leaving
+            and vm.report.member_state == IDLE
+            and not vm.report.group_id
+        )
+        if is_idle and endpoint_id not in held:
+            idle[vm.domain].append(vm)
+    return idle
+
+
+def _plan_changes(
+    given: PlanInput, services: dict[str, tables.ServiceRow]
+) -> list[Action]:
+    """Drain groups that the table no longer wants, one of a service.
+
+    A rolling change takes the next group only once the one before it
+    serves again, so a service keeps all but one of its groups.
+    """
+    actions: list[Action] = []
+    groups_by_service = collections.defaultdict(list)
+    for group in given.groups:
+        if group.members:
+            groups_by_service[group.service].append(group)
+    for name, groups in sorted(groups_by_service.items()):
+        if any(group.state != 'serving' for group in groups):
+            continue
+        unwanted = [g for g in groups if _is_unwanted(g, services.get(name))]
+        if unwanted:
+            actions.append(Drain(group=unwanted[0]))
+    if not actions:
+        actions.extend(_plan_rebalance(given, services, groups_by_service))
+    return actions
+
+
+def _is_unwanted(
+    group: state.Group, service: tables.ServiceRow | None
+) -> bool:
+    return (
+        service is None
+        or service.type != 'model'
+        or service.group_vms != len(group.members)
+        or (service.model, service.version) != (group.model, group.version)
+    )
+
+
+def _plan_rebalance(
+    given: PlanInput,
+    services: dict[str, tables.ServiceRow],
+    groups_by_service: dict[str, list[state.Group]],
+) -> list[Action]:
+    """Drain one group of a service that has too much of its pool.
+
+    Only a move that leaves the pool nearer to the weights is made, and
+    only while every group of the pool serves.
+    """
+    for pool in sorted({s.pool for s in services.values()}):
+        rows = [
+            s
+            for s in services.values()
+            if s.pool == pool and s.type == 'model'
+        ]
+        groups = [g for s in rows for g in groups_by_service[s.name]]
+        if len(rows) < 2 or any(g.state != 'serving' for g in groups):
+            continue
+        if any(g.departed for g in given.groups):
+            continue
+        share = {
+            s.name: len(groups_by_service[s.name]) * s.group_vms / s.weight
+            for s in rows
+        }
+        poorest = min(rows, key=lambda s: (share[s.name], s.name))
+        richest = max(rows, key=lambda s: (share[s.name], s.name))
+        if not groups_by_service[richest.name]:
+            continue
+        after_gain = share[poorest.name] + poorest.group_vms / poorest.weight
+        after_loss = share[richest.name] - richest.group_vms / richest.weight
+        if max(after_gain, after_loss) < share[richest.name] and (
+            after_loss >= share[poorest.name]
+        ):
+            fits = [
+                g
+                for g in groups_by_service[richest.name]
+                if len(g.members) >= poorest.group_vms
+            ]
+            if fits:
+                return [Drain(group=fits[-1])]
+    return []
+
+
+def _plan_new(given: PlanInput) -> list[Action]:
+    """Assemble groups from idle VMs, as the weights of each pool say."""
+    actions: list[Action] = []
+    idle = _idle_by_domain(given)
+    wanted_spares = _lost_by_domain(given)
+    for domain, count in wanted_spares.items():
+        del idle[domain][:count]
+    for pool in sorted(
+        {r.pool for r in given.table.service_by_name().values()}
+    ):
+        rows = [
+            r
+            for r in given.table.service_by_name().values()
+            if r.pool == pool and r.type == 'model'
+        ]
+        held = collections.Counter()
+        for group in given.groups:
+            held[group.service] += len(group.members)
+        while True:
+            chosen = _choose_next(rows, held, idle)
+            if chosen is None:
+                break
+            actions.append(chosen)
+            held[chosen.service.name] += len(chosen.members)
+            taken = {m.endpoint_id for m in chosen.members}
+            idle[chosen.domain] = [
+                vm
+                for vm in idle[chosen.domain]
+                if vm.report.endpoint_id not in taken
+            ]
+    return actions
+
+
+def _lost_by_domain(given: PlanInput) -> dict[FabricDomain, int]:
+    """Return how many idle VMs repairs need first, by domain."""
+    count: dict[FabricDomain, int] = collections.Counter()
+    for group in given.groups:
+        if group.members and group.state != 'draining':
+            domain = FabricDomain(
+                data_centre=group.data_centre, name=group.fabric_domain
+            )
+            count[domain] += len(lost_members(group, given))
+    return count
+
+
+def _choose_next(
+    rows: list[tables.ServiceRow],
+    held: collections.Counter,
+    idle: dict[FabricDomain, list[Vm]],
+) -> Assemble | None:
+    """Return the group that brings the pool nearest to its weights.
+
+    It goes to the tightest domain that has room, so that what is left
+    over stays together, as spares or for larger groups.
+    """
+    by_need = sorted(rows, key=lambda r: (held[r.name] / r.weight, r.name))
+    for row in by_need:
+        fitting = [
+            (len(vms), domain.data_centre, domain.name, domain)
+            for domain, vms in idle.items()
+            if len(vms) >= row.group_vms
+        ]
+        if not fitting:
+            continue
+        domain = min(fitting, key=lambda item: item[:3])[3]
+        chosen = idle[domain][: row.group_vms]
+        return Assemble(
+            service=row,
+            domain=domain,
+            members=tuple(make_member(vm) for vm in chosen),
+        )
+    return None
--- /dev/null
+++ b/packages/nodes/src/apricotthread/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""The peer protocol between nodes: messages, links and membership."""
--- /dev/null
+++ b/packages/nodes/src/apricotthread/nodes/connections.py
@@ -0,0 +1,122 @@
+"""Connections that carry frames, and the network that opens them."""
+
+import asyncio
+import collections.abc
+import contextlib
+import typing
+
+from apricotthread.base import errors
+from apricotthread.base import settings
+from apricotthread.nodes import framing
+
+ConnectionHandler = collections.abc.Callable[
+    ['Connection'], collections.abc.Awaitable[None]
+]
+
+
+class Connection(typing.Protocol):
+    """A two-way, ordered stream of frames to one peer."""
+
+    async def send(self, frame: framing.Frame) -> None:
+        """Send a frame, waiting while the peer reads too slowly."""
+
+    async def receive(self) -> framing.Frame:
+        """Return the next frame.
+
+        Raises ConnectionError when the connection ends and ApricotError
+        with code PROTOCOL for a broken frame.
+        """
+
+    def close(self) -> None:
+        """Close the connection at once."""
+
+
+class Network(typing.Protocol):
+    """Opens connections to peers and accepts those from peers."""
+
+    async def dial(self, address: settings.NodeAddress) -> Connection:
+        """Open a connection; raises OSError when that fails."""
+
+    async def serve(
+        self, address: settings.NodeAddress, handle: ConnectionHandler
+    ) -> None:
+        """Accept connections until cancelled, one task for each."""
+
+
+class TcpConnection:
+    """A connection over TCP."""
+
+    def __init__(
+        self,
+        *,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        max_frame_bytes: int,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._max_frame_bytes = max_frame_bytes
+
+    async def send(self, frame: framing.Frame) -> None:
+        """Send a frame, waiting while the peer reads too slowly."""
+        self._writer.write(framing.encode_frame(frame))
+        await self._writer.drain()
+
+    async def receive(self) -> framing.Frame:
+        """Return the next frame."""
+        try:
+            prefix = await self._reader.readexactly(framing.LENGTH.size)
+            (length,) = framing.LENGTH.unpack(prefix)
+            if length > self._max_frame_bytes:
+                raise errors.ApricotError(
+                    code=errors.ErrorCode.PROTOCOL,
+                    message=f'frame of {length} bytes is over the limit of '
+                    f'{self._max_frame_bytes}',
+                )
+            encoded = await self._reader.readexactly(length)
+        except asyncio.IncompleteReadError as error:
+            raise ConnectionError('connection ended') from error
+        return framing.decode_frame(encoded)
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self._writer.transport.abort()
+
+
+class TcpNetwork:
+    """The network of a real process."""
+
+    def __init__(self, *, max_frame_bytes: int) -> None:
+        self._max_frame_bytes = max_frame_bytes
+
+    async def dial(self, address: settings.NodeAddress) -> Connection:
+        """Open a connection to a peer."""
+        reader, writer = await asyncio.open_connection(
+            address.host, address.peer_port
+        )
+        return self._wrap(reader, writer)
+
+    async def serve(
+        self, address: settings.NodeAddress, handle: ConnectionHandler
+    ) -> None:
+        """Accept connections until cancelled, one task for each."""
+
+        async def accept(reader, writer) -> None:
+            connection = self._wrap(reader, writer)
+            # The stream library logs a cancelled handler as an error.
+            with contextlib.suppress(asyncio.CancelledError):
+                await handle(connection)
+            connection.close()
+
+        server = await asyncio.start_server(
+            accept, address.host, address.peer_port
+        )
+        async with server:
+            await server.serve_forever()
+
+    def _wrap(self, reader, writer) -> TcpConnection:
+        return TcpConnection(
+            reader=reader,
+            writer=writer,
+            max_frame_bytes=self._max_frame_bytes,
+        )
--- /dev/null
+++ b/packages/operators/src/apricotthread/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface for operators."""
--- /dev/null
+++ b/packages/operators/src/apricotthread/operators/application.py
@@ -0,0 +1,269 @@
+"""The HTTP interface for operators."""
+
+import msgspec
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from apricotthread.base import environment
+from apricotthread.base import errors
+from apricotthread.base import logs
+from apricotthread.control import audit
+from apricotthread.control import commands
+from apricotthread.control import replica
+from apricotthread.control import tables
+from apricotthread.operators import bodies
+from apricotthread.operators import localmarks
+from apricotthread.operators import overview as overviews
+from apricotthread.routing import view
+
+JSON = 'application/json'
+MAX_BODY_BYTES = 4 * 1024 * 1024
+PROPOSE_TIMEOUT_S = 8.0
+MAX_AUDIT_RECORDS = 1000
+
+
+class OperatorApplication:
+    """Serves operators over ASGI; any node answers for the system."""
+
+    def __init__(
+        self,
+        *,
+        env: environment.Environment,
+        system: view.SystemView,
+        agreed: replica.Replica,
+        trail: audit.AuditTrail,
+        overview: overviews.Overview,
+        marks: localmarks.LocalMarks,
+        extra_routes: list[routing.Route],
+    ) -> None:
+        self._env = env
+        self._system = system
+        self._agreed = agreed
+        self._trail = trail
+        self._overview = overview
+        self._marks = marks
+        self.asgi = applications.Starlette(
+            routes=[
+                *extra_routes,
+                routing.Route('/status', self._show_status),
+                routing.Route('/table', self._show_table),
+                routing.Route('/groups', self._show_groups),
+                routing.Route('/audit', self._show_audit),
+                routing.Route('/changes', self._change_rows, methods=['POST']),
+                routing.Route(
+                    '/data-centres/{name}',
+                    self._mark_data_centre,
+                    methods=['POST'],
+                ),
+                routing.Route(
+                    '/voters/{name}', self._change_voter, methods=['POST']
+                ),
+            ],
+            exception_handlers={errors.ApricotError: _answer_error},
+        )
+
+    async def _show_status(
+        self, request: requests.Request
+    ) -> responses.Response:
+        return _answer(self._overview.make_status())
+
+    async def _show_table(
+        self, request: requests.Request
+    ) -> responses.Response:
+        return _answer(
+            bodies.TableBody(
+                version=self._system.agreed_state.version,
+                table=self._system.agreed_state.table,
+            )
+        )
+
+    async def _show_groups(
+        self, request: requests.Request
+    ) -> responses.Response:
+        return _answer(self._overview.group_statuses())
+
+    async def _show_audit(
+        self, request: requests.Request
+    ) -> responses.Response:
+        query = request.query_params
+        records = [
+            record
+            for record in self._trail.records
+            if query.get('subject', '') in record.subject
+            and query.get('operator') in (None, record.operator)
+            and record.wall_time_s >= _read_number(query.get('since', '0'))
+        ]
+        return _answer(
+            bodies.AuditBody(
+                node_id=self._system.own.node_id,
+                records=records[-MAX_AUDIT_RECORDS:],
+            )
+        )
+
+    def _make_origin(
+        self, request: requests.Request, command_id: str, operator: str
+    ) -> commands.Origin:
+        client = request.client
+        return commands.Origin(
+            command_id=command_id,
+            operator=operator,
+            source=f'{client.host}:{client.port}' if client else '-',
+            wall_time_s=self._env.timer.wall_time(),
+        )
+
+    async def _change_rows(
+        self, request: requests.Request
+    ) -> responses.Response:
+        body = await _read_body(request, bodies.ChangeBody)
+        command = commands.ChangeRows(
+            origin=self._make_origin(request, body.command_id, body.operator),
+            base_version=body.base_version,
+            edits=body.edits,
+        )
+        before = self._system.agreed_state.table
+        rows = before.row_by_key()
+        for edit in body.edits:
+            if edit.row is None:
+                rows.pop(edit.key, None)
+            else:
+                rows[edit.key] = edit.row
+        after = tables.make_table(rows.values())
+        changes = tables.diff_tables(before, after)
+        if body.dry_run:
+            faults = tables.check_table(after)
+            if faults:
+                raise tables.TableError(faults=faults)
+            result = commands.Result(version=self._system.agreed_state.version)
+            return _answer(
+                bodies.OutcomeBody(
+                    command_id=body.command_id, result=result, changes=changes
+                )
+            )
+        return await self._propose(command, changes)
+
+    async def _mark_data_centre(
+        self, request: requests.Request
+    ) -> responses.Response:
+        body = await _read_body(request, bodies.MarkBody)
+        name = request.path_params['name']
+        nodes = self._system.members.node_by_id.values()
+        known = sorted({node.data_centre for node in nodes})
+        if name not in known:
+            raise errors.ApricotError(
+                code=errors.ErrorCode.UNKNOWN_ROW,
+                message=f'data centre {name!r}: allowed is one of '
+                + ', '.join(known),
+            )
+        command = commands.MarkDataCentre(
+            origin=self._make_origin(request, body.command_id, body.operator),
+            base_version=body.base_version,
+            data_centre=name,
+            out=body.out,
+            force=body.force,
+        )
+        try:
+            return await self._propose(command, [])
+        except errors.ApricotError as error:
+            is_own = name == self._system.own.data_centre
+            if not (body.out and is_own):
+                raise
+            logs.log_fault('take_out_without_majority', error)
+        self._marks.set(command)
+        return _answer(
+            bodies.OutcomeBody(
+                command_id=body.command_id,
+                result=commands.Result(
+                    version=self._system.agreed_state.version
+                ),
+                local_only=True,
+            )
+        )
+
+    async def _change_voter(
+        self, request: requests.Request
+    ) -> responses.Response:
+        body = await _read_body(request, bodies.VoterBody)
+        name = request.path_params['name']
+        origin = self._make_origin(request, body.command_id, body.operator)
+        if not body.admit:
+            return await self._propose(
+                commands.RemoveVoter(origin=origin, node_id=name), []
+            )
+        disk_id = await self._agreed.find_disk(name)
+        command = commands.AdmitVoter(
+            origin=origin, node_id=name, disk_id=disk_id
+        )
+        return await self._propose(command, [])
+
+    async def _propose(
+        self,
+        command: commands.AnyCommand,
+        changes: list[tables.RowChange],
+    ) -> responses.Response:
+        """Have a command agreed, and tell where it is in force."""
+        result = await self._agreed.propose(
+            command, timeout_s=PROPOSE_TIMEOUT_S
+        )
+        logs.log_event(
+            'operator_command',
+            command_id=command.origin.command_id,
+            operator=command.origin.operator,
+            result=result.code or 'accepted',
+            version=result.version,
+        )
+        body = bodies.OutcomeBody(
+            command_id=command.origin.command_id,
+            result=result,
+            changes=changes,
+            in_force=self._overview.confirmed(result.version),
+            not_confirmed=self._overview.not_confirmed(result.version),
+        )
+        status = 200
+        if not result.accepted:
+            status = errors.CODE_BY_LABEL[result.code].http_status
+        return _answer(body, status=status)
+
+
+def _answer(body, *, status: int = 200) -> responses.Response:
+    return responses.Response(
+        msgspec.json.encode(body), status_code=status, media_type=JSON
+    )
+
+
+async def _answer_error(
+    request: requests.Request, error: errors.ApricotError
+) -> responses.Response:
+    body = bodies.ErrorBody(
+        code=error.code.label, message=error.message, ran=error.ran.value
+    )
+    return _answer(body, status=error.code.http_status)
+
+
+async def _read_body(request: requests.Request, body_type: type):
+    """Read and parse the body of a command; raises BAD_REQUEST."""
+    raw = bytearray()
+    async for chunk in request.stream():
+        raw += chunk
+        if len(raw) > MAX_BODY_BYTES:
+            raise errors.ApricotError(
+                code=errors.ErrorCode.BODY_TOO_LARGE,
+                message=f'the body is over {MAX_BODY_BYTES} bytes',
+            )
+    try:
+        return msgspec.json.decode(raw, type=body_type)
+    except msgspec.DecodeError as error:
+        raise errors.ApricotError(
+            code=errors.ErrorCode.BAD_REQUEST, message=f'body: {error}'
+        ) from error
+
+
+def _read_number(text: str) -> float:
+    try:
+        return float(text)
+    except ValueError as error:
+        raise errors.ApricotError(
+            code=errors.ErrorCode.BAD_REQUEST,
+            message=f'since: {text!r}: allowed is a number of seconds',
+        ) from error
--- /dev/null
+++ b/packages/operators/src/apricotthread/operators/localmarks.py
@@ -0,0 +1,69 @@
+"""Taking the own data centre out while no majority can be reached."""
+
+from apricotthread.base import environment
+from apricotthread.base import errors
+from apricotthread.base import logs
+from apricotthread.control import commands
+from apricotthread.control import replica
+from apricotthread.routing import view
+
+FOLD_PERIOD_S = 1.0
+FOLD_TIMEOUT_S = 5.0
+
+
+class LocalMarks:
+    """Keeps a local mark until the agreed state has taken it over.
+
+    A local mark can only take out. Other nodes of the data centre learn
+    of it by heartbeat. Once a majority is back the same command is
+    proposed, so the mark ends in the log and in the audit trail.
+    """
+
+    def __init__(
+        self,
+        *,
+        env: environment.Environment,
+        system: view.SystemView,
+        agreed: replica.Replica,
+    ) -> None:
+        self._env = env
+        self._system = system
+        self._agreed = agreed
+        self._command: commands.MarkDataCentre | None = None
+
+    def set(self, command: commands.MarkDataCentre) -> None:
+        """Take the own data centre out on the nodes within reach."""
+        self._command = command
+        self._system.local_mark = view.LocalMark(
+            operator=command.origin.operator,
+            source=command.origin.source,
+            command_id=command.origin.command_id,
+        )
+        logs.log_event(
+            'local_take_out',
+            data_centre=command.data_centre,
+            operator=command.origin.operator,
+            command_id=command.origin.command_id,
+        )
+
+    async def run(self) -> None:
+        """Fold the mark into the agreed state as soon as that goes."""
+        async for _ in self._env.timer.subscribe(period_s=FOLD_PERIOD_S):
+            command = self._command
+            if command is None or not self._agreed.has_majority():
+                continue
+            try:
+                result = await self._agreed.propose(
+                    command, timeout_s=FOLD_TIMEOUT_S
+                )
+            except errors.ApricotError as error:
+                logs.log_fault('local_mark_not_folded', error)
+                continue
+            logs.log_event(
+                'local_mark_folded',
+                result=result.code or 'accepted',
+                version=result.version,
+            )
+            await self._agreed.wait_applied(result.version)
+            self._command = None
+            self._system.local_mark = None
--- /dev/null
+++ b/packages/operators/src/apricotthread/operators/overview.py
@@ -0,0 +1,121 @@
+"""The system as this node sees it, put together for operators."""
+
+import collections
+
+from apricotthread.control import replica
+from apricotthread.nodes import messages
+from apricotthread.operators import bodies
+from apricotthread.routing import scheduler
+from apricotthread.routing import view
+
+
+class Overview:
+    """Answers operators' questions from what this node knows."""
+
+    def __init__(
+        self,
+        *,
+        system: view.SystemView,
+        agreed: replica.Replica,
+        schedule: scheduler.Scheduler,
+    ) -> None:
+        self._system = system
+        self._agreed = agreed
+        self._schedule = schedule
+
+    def node_statuses(self) -> list[bodies.NodeStatus]:
+        """Return every node, with the version it has confirmed."""
+        members = self._system.members
+        voters = self._agreed.disk_by_voter()
+        statuses = []
+        for node_id, node in sorted(members.node_by_id.items()):
+            if node_id == self._system.own.node_id:
+                version = self._system.agreed_state.version
+                draining = self._system.draining
+            else:
+                known = members.state_by_id.get(node_id)
+                version = known.heartbeat.version if known else 0
+                draining = known.heartbeat.draining if known else False
+            statuses.append(
+                bodies.NodeStatus(
+                    node_id=node_id,
+                    data_centre=node.data_centre,
+                    alive=members.is_alive(node_id),
+                    draining=draining,
+                    voter=node_id in voters,
+                    version=version,
+                )
+            )
+        return statuses
+
+    def not_confirmed(self, version: int) -> list[str]:
+        """Return the nodes that have not confirmed the version."""
+        return [
+            node.node_id
+            for node in self.node_statuses()
+            if node.version < version or not node.alive
+        ]
+
+    def confirmed(self, version: int) -> list[str]:
+        """Return the nodes in which the version is in force."""
+        missing = set(self.not_confirmed(version))
+        return [
+            node.node_id
+            for node in self.node_statuses()
+            if node.node_id not in missing
+        ]
+
+    def service_statuses(self) -> list[bodies.ServiceStatus]:
+        """Return what all entries together can take of each service."""
+        heartbeats = self._system.members.fresh_heartbeats()
+        known = [
+            *self._schedule.capacities(),
+            *(c for h in heartbeats.values() for c in h.capacities),
+        ]
+        by_service: dict[str, list[messages.Capacity]] = (
+            collections.defaultdict(list)
+        )
+        for capacity in known:
+            by_service[capacity.service].append(capacity)
+        return [
+            bodies.ServiceStatus(
+                name=name,
+                limit_requests=sum(c.limit_requests for c in by_service[name]),
+                free_requests=sum(c.free_requests for c in by_service[name]),
+                queued=sum(c.queued for c in by_service[name]),
+            )
+            for name in self._system.service_names()
+        ]
+
+    def group_statuses(self) -> list[bodies.GroupStatus]:
+        """Return the groups of the ledger."""
+        groups = self._system.agreed_state.content.group_by_id.values()
+        return [
+            bodies.GroupStatus(
+                group=group,
+                whole=bool(group.members)
+                and self._system.group_is_whole(group),
+            )
+            for group in groups
+        ]
+
+    def make_status(self) -> bodies.StatusBody:
+        """Return everything at once."""
+        held = self._system.agreed_state.held_vms()
+        return bodies.StatusBody(
+            node_id=self._system.own.node_id,
+            data_centre=self._system.own.data_centre,
+            version=self._system.agreed_state.version,
+            leader=self._agreed.leader_id,
+            has_majority=self._agreed.has_majority(),
+            taken_out=self._system.agreed_state.content.taken_out,
+            taken_out_locally=self._system.is_out_locally(),
+            nodes=self.node_statuses(),
+            services=self.service_statuses(),
+            groups=self.group_statuses(),
+            idle_vms=sorted(
+                name
+                for name, report in self._system.vm_reports().items()
+                if name not in held and self._system.is_fresh(report)
+            ),
+        )
--- /dev/null
+++ b/packages/platform/src/apricotthread/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Health checks and metrics for the platform."""
--- /dev/null
+++ b/packages/platform/src/apricotthread/platform/application.py
@@ -0,0 +1,52 @@
+"""Health checks for the balancer, and metrics."""
+
+import collections.abc
+
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from apricotthread.base import metrics
+
+METRICS_TYPE = 'text/plain; version=0.0.4'
+
+
+def make_health_routes(
+    *, why_not_ready: collections.abc.Callable[[], str]
+) -> list[routing.Route]:
+    """Return the routes /livez and /readyz.
+
+    The callable gives the reason why the node is not ready, or nothing.
+    """
+
+    async def check_live(request: requests.Request) -> responses.Response:
+        return responses.PlainTextResponse('live\n')
+
+    async def check_ready(request: requests.Request) -> responses.Response:
+        reason = why_not_ready()
+        if reason:
+            return responses.PlainTextResponse(
+                f'not ready: {reason}\n', status_code=503
+            )
+        return responses.PlainTextResponse('ready\n')
+
+    return [
+        routing.Route('/livez', check_live),
+        routing.Route('/readyz', check_ready),
+    ]
+
+
+def make_metrics_route(
+    *,
+    recorded: metrics.Metrics,
+    refresh: collections.abc.Callable[[], None],
+) -> routing.Route:
+    """Return the route /metrics, which refreshes the gauges first."""
+
+    async def show_metrics(request: requests.Request) -> responses.Response:
+        refresh()
+        return responses.PlainTextResponse(
+            recorded.render(), media_type=METRICS_TYPE
+        )
+
+    return routing.Route('/metrics', show_metrics)
--- /dev/null
+++ b/packages/routing/src/apricotthread/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions for each request: queues, limits, placement, retries, buffers."""
--- /dev/null
+++ b/packages/routing/src/apricotthread/routing/view.py
@@ -0,0 +1,237 @@
+"""What this node knows of the whole system, and may use of it now."""
+
+import dataclasses
+
+import msgspec
+
+from apricotthread.base import environment
+from apricotthread.base import settings
+from apricotthread.base import units
+from apricotthread.control import replica
+from apricotthread.control import state
+from apricotthread.control import tables
+from apricotthread.endpoints import registry
+from apricotthread.nodes import membership
+from apricotthread.nodes import messages
+
+READY = 'ready'
+REPORTS_MAX_AGE_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LocalMark:
+    """The own data centre, taken out without a majority."""
+
+    operator: str
+    source: str
+    command_id: str
+
+
+class SystemView:
+    """Joins agreed state, heartbeats and announcements."""
+
+    def __init__(
+        self,
+        *,
+        env: environment.Environment,
+        own: settings.NodeAddress,
+        agreed: replica.Replica,
+        members: membership.Membership,
+        endpoints: registry.Registry,
+        lease_s: float,
+    ) -> None:
+        self._env = env
+        self._lease_s = lease_s
+        self._agreed = agreed
+        self._endpoints = endpoints
+        self.own = own
+        self.members = members
+        self.local_mark: LocalMark | None = None
+        self.draining = False
+        self._reports: dict[str, messages.VmReport] = {}
+        self._reports_at = float('-inf')
+
+    @property
+    def agreed_state(self) -> state.AgreedState:
+        """The agreed state as this node has it."""
+        return self._agreed.state
+
+    @property
+    def has_table(self) -> bool:
+        """Whether this node has any agreed table."""
+        return self._agreed.applied_index > 0 and self.agreed_state.version > 0
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether no majority was heard of within the lease."""
+        return not self._agreed.has_majority()
+
+    def is_out(self, data_centre: str) -> bool:
+        """Whether a data centre takes no new work."""
+        if data_centre in self.agreed_state.content.taken_out:
+            return True
+        return data_centre == self.own.data_centre and self.is_out_locally()
+
+    def is_out_locally(self) -> bool:
+        """Whether a node here was told to take the data centre out."""
+        if self.local_mark is not None:
+            return True
+        return any(
+            heartbeat.local_out
+            for node_id, heartbeat in self.members.fresh_heartbeats().items()
+            if node_id in self.members.node_by_id
+            and self.members.node_by_id[node_id].data_centre
+            == self.own.data_centre
+        )
+
+    def vm_reports(self) -> dict[str, messages.VmReport]:
+        """Return what entries heard last from each engine VM, by id."""
+        now = self._env.timer.now()
+        if now - self._reports_at > REPORTS_MAX_AGE_S:
+            self._reports = self._collect_vm_reports()
+            self._reports_at = now
+        return self._reports
+
+    def on_announcement(self) -> None:
+        """Have the reports collected anew."""
+        self._reports_at = float('-inf')
+
+    def _collect_vm_reports(self) -> dict[str, messages.VmReport]:
+        reports: dict[str, messages.VmReport] = {}
+        now = self._env.timer.now()
+        for node_id, peer in self.members.state_by_id.items():
+            since_ms = int((now - peer.received_at) * units.MS_PER_S)
+            if not self.members.is_alive(node_id):
+                continue
+            for report in peer.heartbeat.vms:
+                _keep_newer(reports, _age(report, since_ms))
+        for report in self.own_vm_reports():
+            _keep_newer(reports, report)
+        return reports
+
+    def own_vm_reports(self) -> list[messages.VmReport]:
+        """Return the engine VMs that announce themselves here."""
+        return [
+            messages.VmReport(
+                endpoint_id=endpoint.endpoint_id,
+                incarnation=endpoint.announcement.incarnation,
+                fabric_domain=endpoint.announcement.fabric_domain,
+                url=endpoint.announcement.url,
+                accelerators=endpoint.announcement.accelerators,
+                checks_fencing=endpoint.announcement.checks_fencing,
+                member_state=endpoint.announcement.member_state,
+                group_id=endpoint.announcement.group_id,
+                fencing=endpoint.announcement.fencing,
+                leaving=endpoint.announcement.leaving,
+                cold=endpoint.announcement.cold,
+                age_ms=int(self._endpoints.age_s(endpoint) * units.MS_PER_S),
+                running=max(
+                    endpoint.outstanding, endpoint.announcement.running
+                ),
+            )
+            for endpoint in self._endpoints.endpoint_by_id.values()
+            if endpoint.announcement.kind == 'engine'
+        ]
+
+    def home_of(self, endpoint_id: str) -> str | None:
+        """Return the entry to which an engine VM announces itself."""
+        homes = {
+            node_id: report
+            for node_id, peer in self.members.state_by_id.items()
+            if self.members.is_alive(node_id)
+            for report in peer.heartbeat.vms
+            if report.endpoint_id == endpoint_id
+        }
+        for report in self.own_vm_reports():
+            if report.endpoint_id == endpoint_id:
+                homes[self.own.node_id] = report
+        return min(homes, key=lambda name: homes[name].age_ms, default=None)
+
+    def is_fresh(self, report: messages.VmReport) -> bool:
+        """Whether a VM was heard within the lease of endpoints."""
+        return report.age_ms <= self._lease_s * units.MS_PER_S
+
+    def group_is_whole(self, group: state.Group) -> bool:
+        """Whether every member is there, ready, under the group's number."""
+        if group.state != 'serving':
+            return False
+        reports = self.vm_reports()
+        return all(
+            self.member_is_ready(group, reports.get(member.endpoint_id))
+            and reports[member.endpoint_id].incarnation == member.incarnation
+            for member in group.members
+        )
+
+    def member_is_ready(
+        self, group: state.Group, report: messages.VmReport | None
+    ) -> bool:
+        """Whether a VM says that it is ready under the group's number."""
+        return (
+            report is not None
+            and self.is_fresh(report)
+            and not report.leaving
+            and report.member_state == READY
+            and report.group_id == group.group_id
+            and report.fencing == group.fencing
+        )
+
+    def serves(self, endpoint: registry.Endpoint, service: str) -> bool:
+        """Whether an endpoint of this entry may take work of a service."""
+        if not self._endpoints.is_usable(endpoint):
+            return False
+        announcement = endpoint.announcement
+        if announcement.data_centre != self.own.data_centre:
+            return False
+        if announcement.kind == 'plain':
+            return announcement.service == service
+        group = self.agreed_state.content.group_by_id.get(
+            announcement.group_id
+        )
+        return (
+            group is not None
+            and bool(group.members)
+            and group.service == service
+            and group.head.endpoint_id == announcement.endpoint_id
+            and self.group_is_whole(group)
+        )
+
+    def own_endpoints(self, service: str) -> list[registry.Endpoint]:
+        """Return the endpoints that this entry may use for a service."""
+        if self.is_out(self.own.data_centre):
+            return []
+        return [
+            endpoint
+            for endpoint in self._endpoints.endpoint_by_id.values()
+            if self.serves(endpoint, service)
+        ]
+
+    def find_endpoint(self, endpoint_id: str) -> registry.Endpoint:
+        """Return an endpoint of this entry, which must be known."""
+        return self._endpoints.endpoint_by_id[endpoint_id]
+
+    def service_names(self) -> list[str]:
+        """Return the names of all services in the table."""
+        return list(self.agreed_state.table.service_by_name())
+
+    def find_account(self, key_sha256: str) -> tables.AccountRow | None:
+        """Return the account that a key belongs to."""
+        for row in self.agreed_state.table.account_by_name().values():
+            if row.key_sha256 == key_sha256:
+                return row
+        return None
+
+
+def _age(report: messages.VmReport, since_ms: int) -> messages.VmReport:
+    return msgspec.structs.replace(report, age_ms=report.age_ms + since_ms)
+
+
+def _keep_newer(
+    reports: dict[str, messages.VmReport], report: messages.VmReport
+) -> None:
+    """Keep the report of the newest incarnation, then the youngest."""
+    known = reports.get(report.endpoint_id)
+    if known is None or (report.incarnation, -report.age_ms) > (
+        known.incarnation,
+        -known.age_ms,
+    ):
+        reports[report.endpoint_id] = report
