Decide claims by a ballot of their own, and test agreement and claims

Cause: a generated test ran a keyed call twice. Two calls under one key at one entry both proposed with the ballot (1, node), so each took the other's promises for its own. Ruled out: the registers, which granted correctly by ballot order.

Change: each claim has an id, which is part of its ballot and names it in outcomes. The command line of the operators is in.

Conclusion: ballots must be unique for each proposer, not each node.

--- a/packages/callers/src/apricotthread/callers/application.py
+++ b/packages/callers/src/apricotthread/callers/application.py
@@ -80,7 +80,9 @@
         started_at = self._env.timer.now()
         request_id = self._env.new_id()
         try:
-            request_id = intake.choose_request_id(request, self._env)
+            resumption = intake.read_resumption(request)
+            if resumption is not None and answer != self._answer_plain:
+                request_id = resumption.request_id
             with logs.log_action(
                 'request',
                 request_id=request_id,
--- a/packages/callers/src/apricotthread/callers/intake.py
+++ b/packages/callers/src/apricotthread/callers/intake.py
@@ -6,7 +6,6 @@
 
 from starlette import requests
 
-from apricotthread.base import environment
 from apricotthread.base import errors
 from apricotthread.control import tables
 from apricotthread.routing import view
@@ -98,14 +97,6 @@
     return Resumption(request_id=request_id, offset=int(offset))
 
 
-def choose_request_id(
-    request: requests.Request, env: environment.Environment
-) -> str:
-    """Return a fresh id, or the one of the stream that is resumed."""
-    resumption = read_resumption(request)
-    return resumption.request_id if resumption is not None else env.new_id()
-
-
 def check_headers(request: requests.Request, limit_bytes: int) -> None:
     """Raise ApricotError when the headers are too large together."""
     size = sum(len(name) + len(value) for name, value in request.headers.raw)
--- /dev/null
+++ b/packages/cli/src/apricotthread/cli/context.py
@@ -0,0 +1,52 @@
+"""The surroundings of one run of the command line."""
+
+import dataclasses
+import getpass
+import os
+import sys
+import typing
+import uuid
+
+NODES_VARIABLE = 'APRICOTTHREAD_NODES'
+DEFAULT_NODES = '127.0.0.1:7003'
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Context:
+    """Streams, the operator's name and where the nodes are.
+
+    The nodes are the operator ports, IP:PORT, separated by commas; they
+    are tried in turn.
+    """
+
+    stdin: typing.TextIO
+    stdout: typing.TextIO
+    stderr: typing.TextIO
+    operator: str
+    default_nodes: str
+    in_force_timeout_s: float = 6.0
+    debug: bool = False
+
+    def make_command_id(self) -> str:
+        """Return a fresh id for a command."""
+        return uuid.uuid4().hex[:16]
+
+    def print(self, text: str) -> None:
+        """Print a line for the operator."""
+        print(text, file=self.stdout)
+
+    def print_error(self, text: str) -> None:
+        """Print a line about a mistake or a failure."""
+        print(text, file=self.stderr)
+
+
+def make_context() -> Context:
+    """Return the context of a real process."""
+    return Context(
+        stdin=sys.stdin,
+        stdout=sys.stdout,
+        stderr=sys.stderr,
+        operator=os.environ.get('APRICOTTHREAD_OPERATOR') or getpass.getuser(),
+        default_nodes=os.environ.get(NODES_VARIABLE, DEFAULT_NODES),
+        debug='--debug' in sys.argv,
+    )
--- /dev/null
+++ b/packages/cli/src/apricotthread/cli/core.py
@@ -0,0 +1,404 @@
+"""The jobs of the command line: each returns its exit status."""
+
+import asyncio
+import collections.abc
+import pathlib
+import traceback
+import urllib.parse
+
+import msgspec
+
+from apricotthread.base import errors
+from apricotthread.base import settings as node_settings
+from apricotthread.cli import client
+from apricotthread.cli import context as contexts
+from apricotthread.cli.output import reports
+from apricotthread.cli import status
+from apricotthread.control import commands
+from apricotthread.control import tables
+from apricotthread.operators import bodies
+
+NODES_HELP = (
+    'name the operator ports of some nodes with --nodes IP:PORT,IP:PORT or '
+    f'in the variable {contexts.NODES_VARIABLE}'
+)
+
+
+class UsageError(Exception):
+    """A mistake in what was typed."""
+
+
+def run_job(
+    context: contexts.Context,
+    job: collections.abc.Coroutine[None, None, status.ExitStatus],
+) -> status.ExitStatus:
+    """Run a job; mistakes and failures end as a sentence and a status."""
+    try:
+        return asyncio.run(job)
+    except KeyboardInterrupt:
+        return status.ExitStatus.INTERRUPTED
+    except (
+        UsageError,
+        client.UnreachableError,
+        client.CommandError,
+        errors.ApricotError,
+        OSError,
+    ) as error:
+        if context.debug:
+            traceback.print_exception(error, file=context.stderr)
+        context.print_error(f'apricotthread: {_explain(error)}')
+        return _status_of(error)
+
+
+def _explain(error: Exception) -> str:
+    match error:
+        case client.UnreachableError():
+            advice = (
+                ' It is not known whether the change arrived; send it again '
+                f'with --command-id {error.command_id} to learn its result.'
+                if error.command_id
+                else ''
+            )
+            return (
+                f'no node answered ({error}). Check the addresses, or '
+                f'{NODES_HELP}.{advice}'
+            )
+        case client.CommandError(body=body) if body.ran == 'unknown':
+            return f'{body.message} (code {body.code}).'
+        case client.CommandError(body=body):
+            return f'{body.message} (code {body.code}). Nothing was changed.'
+        case _:
+            return str(error)
+
+
+def _status_of(error: Exception) -> status.ExitStatus:
+    match error:
+        case UsageError():
+            return status.ExitStatus.USAGE
+        case client.UnreachableError():
+            return status.ExitStatus.UNREACHABLE
+        case client.CommandError(body=body) if body.ran == 'unknown':
+            return status.ExitStatus.UNKNOWN_OUTCOME
+        case client.CommandError():
+            return status.ExitStatus.REFUSED
+        case node_settings.SettingsError():
+            return status.ExitStatus.SETTINGS
+        case errors.ApricotError():
+            return status.ExitStatus.REFUSED
+        case _:
+            return status.ExitStatus.FAILURE
+
+
+# The table
+
+
+async def show_table(
+    context: contexts.Context, nodes: str, as_json: bool
+) -> status.ExitStatus:
+    """Print the table as CSV."""
+    body = await client.OperatorClient(
+        context=context, nodes=nodes
+    ).fetch_table()
+    if as_json:
+        context.print(msgspec.json.encode(body).decode())
+    else:
+        context.stdout.write(tables.format_csv(body.table))
+        context.print_error(f'# version {body.version}')
+    return status.ExitStatus.SUCCESS
+
+
+def read_table(context: contexts.Context, file: str) -> tables.Table:
+    """Read a table from a CSV file, or from standard input for '-'."""
+    if file == '-':
+        return tables.parse_csv(context.stdin.read())
+    try:
+        text = pathlib.Path(file).read_text(encoding='utf-8')
+    except (OSError, UnicodeError) as error:
+        raise UsageError(f'{file}: {error}') from error
+    return tables.parse_csv(text)
+
+
+def parse_assignments(
+    key: tables.RowKey, assignments: list[str], known: tables.AnyRow | None
+) -> tables.AnyRow:
+    """Return the row with the cells that were typed as COLUMN=VALUE."""
+    cells = tables.cells_of(known) if known is not None else {}
+    cells |= {'row': key.row, 'name': key.name}
+    if key.service:
+        cells['service'] = key.service
+    for assignment in assignments:
+        column, equals, value = assignment.partition('=')
+        if not equals or column not in tables.COLUMNS:
+            allowed = ', '.join(tables.COLUMNS)
+            raise UsageError(
+                f'{assignment!r}: allowed is COLUMN=VALUE with a column of '
+                f'{allowed}'
+            )
+        if column in ('row', 'name', 'service'):
+            raise UsageError(f'{column!r} is part of the key {key}')
+        cells[column] = value
+    return tables.parse_cells(cells, place=f'row {key}')
+
+
+async def set_row(
+    context: contexts.Context,
+    nodes: str,
+    key_text: str,
+    assignments: list[str],
+    *,
+    options: 'ChangeOptions',
+) -> status.ExitStatus:
+    """Change cells of one row, or add the row."""
+    key = tables.parse_key(key_text)
+    operators = client.OperatorClient(context=context, nodes=nodes)
+    current = await operators.fetch_table()
+    known = current.table.row_by_key().get(key)
+    row = parse_assignments(key, assignments, known)
+    edits = [commands.RowEdit(key=key, row=row)]
+    return await _change(context, operators, current, edits, options)
+
+
+async def delete_row(
+    context: contexts.Context,
+    nodes: str,
+    key_text: str,
+    *,
+    options: 'ChangeOptions',
+) -> status.ExitStatus:
+    """Delete one row."""
+    key = tables.parse_key(key_text)
+    operators = client.OperatorClient(context=context, nodes=nodes)
+    current = await operators.fetch_table()
+    edits = [commands.RowEdit(key=key, row=None)]
+    return await _change(context, operators, current, edits, options)
+
+
+async def import_table(
+    context: contexts.Context,
+    nodes: str,
+    file: str,
+    *,
+    options: 'ChangeOptions',
+) -> status.ExitStatus:
+    """Make the table equal to a CSV file, in one change."""
+    wanted = read_table(context, file)
+    operators = client.OperatorClient(context=context, nodes=nodes)
+    current = await operators.fetch_table()
+    edits = [
+        commands.RowEdit(key=change.key, row=change.after)
+        for change in tables.diff_tables(current.table, wanted)
+    ]
+    return await _change(context, operators, current, edits, options)
+
+
+async def diff_table(
+    context: contexts.Context, nodes: str, file: str
+) -> status.ExitStatus:
+    """Print how a CSV file differs from the table in force."""
+    wanted = read_table(context, file)
+    operators = client.OperatorClient(context=context, nodes=nodes)
+    current = await operators.fetch_table()
+    changes = tables.diff_tables(current.table, wanted)
+    context.print(reports.format_changes(changes))
+    return status.ExitStatus.SUCCESS
+
+
+class ChangeOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """The options that every change has."""
+
+    command_id: str = ''
+    base: int | None = None
+    dry_run: bool = False
+
+
+async def _change(
+    context: contexts.Context,
+    operators: client.OperatorClient,
+    current: bodies.TableBody,
+    edits: list[commands.RowEdit],
+    options: ChangeOptions,
+) -> status.ExitStatus:
+    if not edits:
+        context.print('Nothing to change: the table is so already.')
+        return status.ExitStatus.SUCCESS
+    base = current.version if options.base is None else options.base
+    outcome = await operators.change_rows(
+        bodies.ChangeBody(
+            command_id=options.command_id or context.make_command_id(),
+            operator=context.operator,
+            base_version=base,
+            edits=edits,
+            dry_run=options.dry_run,
+        )
+    )
+    if options.dry_run:
+        context.print('Dry run, nothing was changed. This would change:')
+        context.print(reports.format_changes(outcome.changes))
+        return status.ExitStatus.SUCCESS
+    if outcome.result.accepted:
+        context.print(reports.format_changes(outcome.changes))
+    return await _report_outcome(context, operators, outcome)
+
+
+async def _report_outcome(
+    context: contexts.Context,
+    operators: client.OperatorClient,
+    outcome: bodies.OutcomeBody,
+) -> status.ExitStatus:
+    """Tell what became of a command and where it is in force."""
+    result = outcome.result
+    if result.code == errors.ErrorCode.CONFLICT.label:
+        context.print_error(reports.format_conflict(outcome))
+        return status.ExitStatus.CONFLICT
+    if not result.accepted:
+        context.print_error(f'Not changed: {result.message}')
+        return status.ExitStatus.REFUSED
+    context.print(
+        f'Accepted as version {result.version} (command {outcome.command_id}).'
+    )
+    in_force = await operators.wait_in_force(
+        result.version, context.in_force_timeout_s
+    )
+    context.print(reports.format_in_force(in_force, result.version))
+    if in_force.missing:
+        return status.ExitStatus.NOT_IN_FORCE_YET
+    return status.ExitStatus.SUCCESS
+
+
+# Data centres and voters
+
+
+async def mark_data_centre(
+    context: contexts.Context,
+    nodes: str,
+    name: str,
+    *,
+    out: bool,
+    force: bool,
+    options: ChangeOptions,
+) -> status.ExitStatus:
+    """Take a data centre out or bring it back."""
+    operators = client.OperatorClient(context=context, nodes=nodes)
+    seen = await operators.fetch_status()
+    is_out = name in seen.taken_out
+    if options.dry_run:
+        now = 'out' if is_out else 'in'
+        then = 'out' if out else 'in'
+        context.print(f'Dry run: {name} is {now} and would be {then}.')
+        return status.ExitStatus.SUCCESS
+    outcome = await operators.mark_data_centre(
+        name,
+        bodies.MarkBody(
+            command_id=options.command_id or context.make_command_id(),
+            operator=context.operator,
+            base_version=(
+                seen.version if options.base is None else options.base
+            ),
+            out=out,
+            force=force,
+        ),
+    )
+    if outcome.local_only:
+        context.print(
+            f'No majority can be reached. {name} takes no new work on the '
+            'nodes that this one can reach; the mark goes into the agreed '
+            'state when the majority is back. Look with: apricotthread status'
+        )
+        return status.ExitStatus.NOT_IN_FORCE_YET
+    if outcome.result.accepted:
+        if is_out == out:
+            context.print(f'{name} was {"out" if out else "in"} already.')
+        elif out:
+            context.print(
+                f'{name} takes no new work; what it has begun ends normally. '
+                f'Bring it back with: apricotthread data-centre bring-back '
+                f'{name}'
+            )
+        else:
+            context.print(f'{name} takes work again.')
+    return await _report_outcome(context, operators, outcome)
+
+
+async def change_voter(
+    context: contexts.Context,
+    nodes: str,
+    name: str,
+    *,
+    admit: bool,
+    options: ChangeOptions,
+) -> status.ExitStatus:
+    """Admit a control node's disk as a voter, or remove it."""
+    operators = client.OperatorClient(context=context, nodes=nodes)
+    outcome = await operators.change_voter(
+        name,
+        bodies.VoterBody(
+            command_id=options.command_id or context.make_command_id(),
+            operator=context.operator,
+            admit=admit,
+        ),
+    )
+    return await _report_outcome(context, operators, outcome)
+
+
+# Looking
+
+
+async def show_status(
+    context: contexts.Context, nodes: str, as_json: bool
+) -> status.ExitStatus:
+    """Print the system as a node sees it."""
+    body = await client.OperatorClient(
+        context=context, nodes=nodes
+    ).fetch_status()
+    if as_json:
+        context.print(msgspec.json.encode(body).decode())
+    else:
+        context.print(reports.format_status(body))
+    return status.ExitStatus.SUCCESS
+
+
+async def show_groups(
+    context: contexts.Context, nodes: str, as_json: bool
+) -> status.ExitStatus:
+    """Print the groups of the ledger."""
+    body = await client.OperatorClient(
+        context=context, nodes=nodes
+    ).fetch_status()
+    if as_json:
+        context.print(msgspec.json.encode(body.groups).decode())
+    else:
+        context.print(reports.format_groups(body.groups))
+    return status.ExitStatus.SUCCESS
+
+
+async def show_audit(
+    context: contexts.Context,
+    nodes: str,
+    as_json: bool,
+    *,
+    row: str,
+    by: str,
+    since: float,
+) -> status.ExitStatus:
+    """Print records of the audit trail."""
+    fields = {'subject': row, 'since': str(since)}
+    if by:
+        fields['operator'] = by
+    body = await client.OperatorClient(
+        context=context, nodes=nodes
+    ).fetch_audit(urllib.parse.urlencode(fields))
+    if as_json:
+        for record in body.records:
+            context.print(msgspec.json.encode(record).decode())
+    else:
+        context.print(reports.format_audit(body.records))
+    return status.ExitStatus.SUCCESS
+
+
+async def check_settings(
+    context: contexts.Context, file: str
+) -> status.ExitStatus:
+    """Check a settings file as the daemon would."""
+    node_settings.read_settings(file)
+    context.print(f'{file}: all settings are right')
+    return status.ExitStatus.SUCCESS
--- /dev/null
+++ b/packages/cli/src/apricotthread/cli/output/__init__.py
@@ -0,0 +1,1 @@
+"""What operators see on their terminal."""
--- a/packages/control/src/apricotthread/control/claims.py
+++ b/packages/control/src/apricotthread/control/claims.py
@@ -107,6 +107,7 @@
         claim and its outcome is not known.
         """
         claim = messages.Claim(
+            claim_id=self._env.new_id(),
             holder=self._node_id,
             incarnation=self._incarnation,
             request_id=request_id,
@@ -199,7 +200,7 @@
         """Return the claim that is decided for the attempt."""
         number = 1
         while True:
-            ballot = messages.Ballot(number=number, node_id=self._node_id)
+            ballot = messages.Ballot(number=number, claim_id=claim.claim_id)
             prepared = await self._ask_all(
                 messages.ClaimPrepare(key=key, attempt=attempt, ballot=ballot)
             )
@@ -326,7 +327,7 @@
         message = messages.ClaimOutcome(
             key=key,
             attempt=attempt,
-            request_id=claim.request_id,
+            claim_id=claim.claim_id,
             claimed_at_ms=claim.claimed_at_ms,
             outcome=outcome,
             status=status,
--- a/packages/control/src/apricotthread/control/folders.py
+++ b/packages/control/src/apricotthread/control/folders.py
@@ -22,7 +22,8 @@
     async def write_at(self, name: str, offset: int, data: bytes) -> None:
         """Cut the file off at the offset, append the data and sync.
 
-        Raises OSError when the disk fails or is full.
+        Raises OSError when the disk fails, is full, or has stalled for
+        DISK_TIMEOUT_S.
         """
 
     async def replace(self, name: str, data: bytes) -> None:
--- a/packages/control/src/apricotthread/control/registers.py
+++ b/packages/control/src/apricotthread/control/registers.py
@@ -175,9 +175,9 @@
         self._check_may_answer()
         register = self._find(body.key, body.attempt)
         known = register.outcome
-        if known is not None and known.request_id == body.request_id:
+        if known is not None and known.claim_id == body.claim_id:
             return self._make_reply(register, granted=True)
-        if known is not None and known.request_id == register.claim.request_id:
+        if known is not None and known.claim_id == register.claim.claim_id:
             return self._make_reply(register, granted=False)
         recorded = msgspec.structs.replace(register, outcome=body)
         await self._save(recorded)
@@ -193,7 +193,7 @@
     ) -> messages.ClaimReply:
         """Return the reply; the outcome is that of the accepted claim."""
         outcome = register.outcome
-        if outcome is None or outcome.request_id != register.claim.request_id:
+        if outcome is None or outcome.claim_id != register.claim.claim_id:
             return messages.ClaimReply(
                 granted=granted,
                 promised=register.promised,
--- /dev/null
+++ b/packages/fakes/src/apricotthread/fakes/cluster.py
@@ -0,0 +1,167 @@
+"""Real nodes without their HTTP listeners, on fake links and disks."""
+
+import asyncio
+import contextlib
+import random
+
+from apricotthread.base import environment
+from apricotthread.base import metrics
+from apricotthread.base import settings as node_settings
+from apricotthread.control import commands
+from apricotthread.control import tables
+from apricotthread.daemon import node
+from apricotthread.fakes import disks
+from apricotthread.fakes import networks
+
+SETTLE_S = 30.0
+POLL_S = 0.05
+
+
+class MemoryCluster:
+    """Nodes that can be crashed, restarted and cut off."""
+
+    def __init__(
+        self,
+        *,
+        env: environment.Environment,
+        voters: int = 3,
+        learners: int = 0,
+    ) -> None:
+        self.env = env
+        self.hub = networks.Hub(env=env)
+        names = [f'v{number}' for number in range(1, voters + 1)]
+        names += [f'l{number}' for number in range(1, learners + 1)]
+        self.address_by_id = {
+            name: node_settings.NodeAddress(
+                node_id=name,
+                data_centre=f'dc{1 + index % 3}',
+                host='127.0.0.1',
+                peer_port=1 + index,
+                roles=frozenset(
+                    {node_settings.Role.ENTRY, node_settings.Role.CONTROL}
+                    if name.startswith('v')
+                    else {node_settings.Role.ENTRY}
+                ),
+            )
+            for index, name in enumerate(names)
+        }
+        self.disk_by_id = {
+            name: disks.FakeDisk(timer=env.timer) for name in names
+        }
+        self.node_by_id: dict[str, node.Node] = {}
+        self._task_by_id: dict[str, asyncio.Task] = {}
+
+    @property
+    def voter_ids(self) -> list[str]:
+        """The nodes that vote."""
+        return [n for n, a in self.address_by_id.items() if a.is_voter]
+
+    def start(self, node_id: str) -> node.Node:
+        """Start a node on its disk."""
+        address = self.address_by_id[node_id]
+        settings = node_settings.Settings(
+            node_id=node_id,
+            data_centre=address.data_centre,
+            data_folder='fake',
+            listen_host=address.host,
+            caller_port=1,
+            endpoint_port=2,
+            operator_port=3,
+            node_by_id=self.address_by_id,
+        )
+        env = environment.Environment(
+            timer=self.env.timer,
+            random=random.Random(self.env.random.random()),
+            metrics=metrics.Metrics(),
+        )
+        disk = self.disk_by_id[node_id]
+        disk.reboot()
+        started = node.Node(
+            settings=settings,
+            env=env,
+            network=networks.NodeNetwork(hub=self.hub, node_id=node_id),
+            folder=disk,
+        )
+        self.node_by_id[node_id] = started
+        task = asyncio.create_task(started.run_parts())
+        self._task_by_id[node_id] = task
+        return started
+
+    def start_all(self) -> None:
+        """Start every node."""
+        for node_id in self.address_by_id:
+            self.start(node_id)
+
+    async def crash(self, node_id: str) -> None:
+        """Kill a node; only what its disk has synced is left."""
+        self.disk_by_id[node_id].is_dead = True
+        self.hub.crash(node_id)
+        self.node_by_id.pop(node_id, None)
+        task = self._task_by_id.pop(node_id, None)
+        if task is None:
+            return
+        task.cancel()
+        with contextlib.suppress(
+            asyncio.CancelledError, Exception, BaseExceptionGroup
+        ):
+            await task
+
+    async def stop_all(self) -> None:
+        """End every node."""
+        for node_id in list(self._task_by_id):
+            await self.crash(node_id)
+
+    async def reap_dead(self) -> list[str]:
+        """Crash the nodes whose disk died; return their names."""
+        dead = [n for n in self.node_by_id if self.disk_by_id[n].is_dead]
+        for node_id in dead:
+            await self.crash(node_id)
+        return dead
+
+    def isolate(self, node_id: str) -> None:
+        """Cut a node off from all others."""
+        for other in self.address_by_id:
+            if other != node_id:
+                self.hub.cut_both(node_id, other)
+
+    def leaders(self) -> list[str]:
+        """Return the nodes that surely lead now."""
+        return [
+            name
+            for name, running in self.node_by_id.items()
+            if running.agreed.holds_lease()
+        ]
+
+    async def wait_for_leader(self) -> str:
+        """Return the leader once there is one."""
+        async with self.env.timer.timeout(SETTLE_S):
+            while True:
+                leaders = self.leaders()
+                if leaders:
+                    return leaders[0]
+                await self.env.timer.sleep(POLL_S)
+
+    async def wait_for_version(self, version: int) -> None:
+        """Return once every running node has a version."""
+        async with self.env.timer.timeout(SETTLE_S):
+            while any(
+                running.agreed.state.version < version
+                for running in self.node_by_id.values()
+            ):
+                await self.env.timer.sleep(POLL_S)
+
+    def make_change(
+        self, name: str, *, limit: int, base: int, command_id: str
+    ) -> commands.ChangeRows:
+        """Return a command that sets an account's limit."""
+        row = tables.AccountRow(name=name, limit=limit)
+        return commands.ChangeRows(
+            origin=commands.Origin(
+                command_id=command_id,
+                operator='tester',
+                source='test',
+                wall_time_s=self.env.timer.wall_time(),
+            ),
+            base_version=base,
+            edits=[commands.RowEdit(key=tables.key_of(row), row=row)],
+        )
--- /dev/null
+++ b/packages/fakes/src/apricotthread/fakes/driven.py
@@ -0,0 +1,68 @@
+"""An event loop whose clock jumps to the next timer, for tests."""
+
+import asyncio
+import collections.abc
+import random
+import selectors
+import typing
+
+from apricotthread.base import environment
+from apricotthread.base import metrics
+from apricotthread.base import timers
+
+WALL_START_S = 1_700_000_000.0
+MAX_VIRTUAL_S = 100_000.0
+
+T = typing.TypeVar('T')
+
+
+class _JumpingSelector(selectors.SelectSelector):
+    """Returns at once, and moves the clock by what it would have waited."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+
+    def select(self, timeout: float | None = None):
+        ready = super().select(0)
+        if ready:
+            return ready
+        if timeout is None or self.now > MAX_VIRTUAL_S:
+            raise RuntimeError('every task waits for something that is lost')
+        self.now += max(0.0, timeout)
+        return []
+
+
+class DrivenLoop(asyncio.SelectorEventLoop):
+    """An event loop on a virtual clock; it has no real input or output."""
+
+    def __init__(self) -> None:
+        self._jumping = _JumpingSelector()
+        super().__init__(self._jumping)
+
+    def time(self) -> float:
+        """Return the virtual time in seconds."""
+        return self._jumping.now
+
+
+class DrivenTimer(timers.TimerService):
+    """The timer service on a virtual clock."""
+
+    def wall_time(self) -> float:
+        """Return a wall time that moves with the virtual clock."""
+        return WALL_START_S + self.now()
+
+
+def make_environment(seed: int = 1) -> environment.Environment:
+    """Return an environment with a driven clock and fixed randomness."""
+    return environment.Environment(
+        timer=DrivenTimer(),
+        random=random.Random(seed),
+        metrics=metrics.Metrics(),
+    )
+
+
+def run(main: collections.abc.Coroutine[typing.Any, typing.Any, T]) -> T:
+    """Run a coroutine to its end on a driven loop."""
+    with asyncio.Runner(loop_factory=DrivenLoop) as runner:
+        return runner.run(main)
--- a/packages/nodes/src/apricotthread/nodes/messages.py
+++ b/packages/nodes/src/apricotthread/nodes/messages.py
@@ -184,15 +184,19 @@
 
 
 class Ballot(Message, order=True):
-    """The order of attempts to decide a claim."""
+    """The order of attempts to decide a claim.
+
+    Each proposer has an id of its own, also beside others of its node.
+    """
 
     number: int = 0
-    node_id: str = ''
+    claim_id: str = ''
 
 
 class Claim(Message):
     """The right of one entry to dispatch a call once."""
 
+    claim_id: str = ''
     holder: str = ''
     incarnation: int = 0
     request_id: str = ''
@@ -235,7 +239,7 @@
 
     key: str
     attempt: int
-    request_id: str
+    claim_id: str
     outcome: str
     claimed_at_ms: int
     status: int = 0
--- a/packages/nodes/src/apricotthread/nodes/peer.capnp
+++ b/packages/nodes/src/apricotthread/nodes/peer.capnp
@@ -170,7 +170,7 @@
 
 struct Ballot {
   number @0 :UInt64;
-  nodeId @1 :Text;
+  claimId @1 :Text;
 }
 
 struct Claim {
@@ -179,6 +179,7 @@
   requestId @2 :Text;
   digest @3 :Text;
   claimedAtMs @4 :UInt64;
+  claimId @5 :Text;
 }
 
 struct ClaimPrepare {
@@ -212,7 +213,7 @@
   status @3 :UInt32;
   contentType @4 :Text;
   body @5 :Data;
-  requestId @6 :Text;
+  claimId @6 :Text;
   claimedAtMs @7 :UInt64;
 }
 
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,22 @@
+"""Fixtures shared by all tests."""
+
+import hypothesis
+import pytest
+
+from apricotthread.fakes import driven
+
+hypothesis.settings.register_profile(
+    'fixed',
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=100,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+hypothesis.settings.load_profile('fixed')
+
+
+@pytest.fixture
+def env():
+    """Return an environment with a driven clock and fixed randomness."""
+    return driven.make_environment()
--- /dev/null
+++ b/tests/test_agreement.py
@@ -0,0 +1,319 @@
+"""Agreed state through cuts, crashes, races and resent commands."""
+
+import asyncio
+
+import pytest
+
+from apricotthread.base import errors
+from apricotthread.control import commands
+from apricotthread.fakes import cluster as clusters
+from apricotthread.fakes import disks
+from apricotthread.fakes import driven
+
+TIMEOUT_S = 20.0
+
+
+async def propose(cluster, node_id, name, limit, *, base=10**9, command=None):
+    """Have a change agreed by way of one node."""
+    change = cluster.make_change(
+        name,
+        limit=limit,
+        base=base,
+        command_id=command or f'{name}-{limit}-{node_id}',
+    )
+    return await cluster.node_by_id[node_id].agreed.propose(
+        change, timeout_s=TIMEOUT_S
+    )
+
+
+async def propose_somewhere(cluster, name, limit):
+    """Have a change agreed; send it again elsewhere when a node dies."""
+    while True:
+        await cluster.reap_dead()
+        running = sorted(cluster.node_by_id)
+        node_id = running[limit % len(running)]
+        try:
+            return await propose(
+                cluster, node_id, name, limit, command=f'{name}-{limit}'
+            )
+        except disks.ProcessDied:
+            continue
+
+
+def limit_at(cluster, node_id, name):
+    """Return an account's limit as a node has it."""
+    state = cluster.node_by_id[node_id].agreed.state
+    row = state.table.account_by_name().get(name)
+    return row.limit if row is not None else None
+
+
+@pytest.fixture
+def run_cluster(env):
+    """Return a function that runs a scenario on a started cluster."""
+
+    def run(scenario, **sizes):
+        async def main():
+            cluster = clusters.MemoryCluster(env=env, **sizes)
+            cluster.start_all()
+            try:
+                await cluster.wait_for_leader()
+                return await scenario(cluster)
+            finally:
+                await cluster.stop_all()
+
+        return driven.run(main())
+
+    return run
+
+
+def test_a_change_is_in_force_on_every_node(run_cluster):
+    async def scenario(cluster):
+        result = await propose(cluster, 'l1', 'acme', 7)
+        assert result.accepted
+        started = cluster.env.timer.now()
+        await cluster.wait_for_version(result.version)
+        assert cluster.env.timer.now() - started < 6.0
+        for node_id in cluster.node_by_id:
+            assert limit_at(cluster, node_id, 'acme') == 7
+
+    run_cluster(scenario, learners=4)
+
+
+def test_leader_crash_loses_no_accepted_change(run_cluster):
+    async def scenario(cluster):
+        for number in range(5):
+            await propose(cluster, 'v1', 'acme', number)
+        leader = await cluster.wait_for_leader()
+        await cluster.crash(leader)
+        other = await cluster.wait_for_leader()
+        assert other != leader
+        result = await propose(cluster, other, 'bale', 3)
+        assert result.version == 6
+        assert limit_at(cluster, other, 'acme') == 4
+
+    run_cluster(scenario)
+
+
+def test_never_two_leaders_while_links_are_cut(run_cluster):
+    async def scenario(cluster):
+        for turn in range(12):
+            victim = cluster.voter_ids[turn % 3]
+            cluster.isolate(victim)
+            for _ in range(60):
+                assert len(cluster.leaders()) <= 1
+                await cluster.env.timer.sleep(0.1)
+            cluster.hub.heal()
+            await cluster.env.timer.sleep(1.0)
+
+    run_cluster(scenario)
+
+
+def test_a_minority_refuses_and_the_change_was_not_run(run_cluster):
+    async def scenario(cluster):
+        cluster.isolate('v1')
+        await cluster.env.timer.sleep(5.0)
+        with pytest.raises(errors.ApricotError) as caught:
+            await propose(cluster, 'v1', 'acme', 1)
+        assert caught.value.code is errors.ErrorCode.NO_QUORUM
+        assert caught.value.ran is errors.Ran.NO
+        cluster.hub.heal()
+        await cluster.env.timer.sleep(10.0)
+        assert limit_at(cluster, 'v2', 'acme') is None
+
+    run_cluster(scenario)
+
+
+def test_a_node_cut_off_for_an_hour_unseats_nobody(run_cluster):
+    async def scenario(cluster):
+        leader = await cluster.wait_for_leader()
+        lonely = next(v for v in cluster.voter_ids if v != leader)
+        cluster.isolate(lonely)
+        await cluster.env.timer.sleep(10.0)
+        await propose(cluster, leader, 'acme', 5)
+        term = cluster.node_by_id[leader].agreed.store.term
+        await cluster.env.timer.sleep(3600.0)
+        cluster.hub.heal()
+        await cluster.env.timer.sleep(20.0)
+        assert cluster.node_by_id[leader].agreed.store.term == term
+        assert cluster.leaders() == [leader]
+        assert limit_at(cluster, lonely, 'acme') == 5
+
+    run_cluster(scenario)
+
+
+def test_a_one_way_cut_leaves_a_working_leader(run_cluster):
+    async def scenario(cluster):
+        leader = await cluster.wait_for_leader()
+        others = [v for v in cluster.voter_ids if v != leader]
+        for other in others:
+            cluster.hub.cut(leader, other)
+        await cluster.env.timer.sleep(15.0)
+        result = await propose(cluster, others[0], 'acme', 9)
+        assert result.accepted
+        assert leader not in cluster.leaders()
+
+    run_cluster(scenario)
+
+
+def test_a_resent_command_gets_its_first_answer(run_cluster):
+    async def scenario(cluster):
+        first = await propose(cluster, 'v1', 'acme', 1, command='same')
+        await propose(cluster, 'v2', 'acme', 2)
+        leader = await cluster.wait_for_leader()
+        await cluster.crash(leader)
+        cluster.start(leader)
+        await cluster.wait_for_leader()
+        again = await propose(cluster, 'v3', 'acme', 1, command='same')
+        assert again == first
+        await cluster.wait_for_version(2)
+        assert limit_at(cluster, 'v3', 'acme') == 2
+
+    run_cluster(scenario)
+
+
+def test_of_two_operators_one_wins_and_the_other_sees_the_row(run_cluster):
+    async def scenario(cluster):
+        await propose(cluster, 'v1', 'acme', 1)
+        results = await asyncio.gather(
+            propose(cluster, 'v1', 'acme', 10, base=1),
+            propose(cluster, 'v2', 'acme', 20, base=1),
+        )
+        accepted = [r for r in results if r.accepted]
+        refused = [r for r in results if not r.accepted]
+        assert len(accepted) == len(refused) == 1
+        await cluster.wait_for_version(2)
+        assert refused[0].code == 'conflict'
+        now = refused[0].conflicts[0].now
+        assert now.limit == limit_at(cluster, 'v3', 'acme')
+
+    run_cluster(scenario)
+
+
+def test_changes_survive_a_restart_of_every_node(run_cluster):
+    async def scenario(cluster):
+        for number in range(500):
+            await propose(cluster, 'v1', 'acme', number)
+        for node_id in list(cluster.node_by_id):
+            await cluster.crash(node_id)
+        started = cluster.env.timer.now()
+        cluster.start_all()
+        await cluster.wait_for_leader()
+        await cluster.wait_for_version(500)
+        assert cluster.env.timer.now() - started < 10.0
+        for node_id in cluster.node_by_id:
+            assert limit_at(cluster, node_id, 'acme') == 499
+            store = cluster.node_by_id[node_id].agreed.store
+            assert store.entry_count < 300
+        lines = cluster.disk_by_id['v2'].files['audit.jsonl'].splitlines()
+        assert len(lines) == 500
+
+    run_cluster(scenario)
+
+
+def test_a_node_far_behind_gets_a_snapshot(run_cluster):
+    async def scenario(cluster):
+        await cluster.crash('v3')
+        await cluster.wait_for_leader()
+        for number in range(600):
+            await propose(cluster, 'v1', 'acme', number)
+        cluster.start('v3')
+        await cluster.wait_for_version(600)
+        assert limit_at(cluster, 'v3', 'acme') == 599
+        trail = cluster.node_by_id['v3'].trail
+        assert [r.index for r in trail.records] == [
+            r.index for r in cluster.node_by_id['v1'].trail.records
+        ]
+
+    run_cluster(scenario)
+
+
+def test_a_lost_disk_does_not_vote_until_admitted(run_cluster):
+    async def scenario(cluster):
+        await propose(cluster, 'v1', 'acme', 1)
+        await cluster.crash('v1')
+        cluster.disk_by_id['v1'].lose()
+        cluster.start('v1')
+        await cluster.crash('v2')
+        await cluster.env.timer.sleep(30.0)
+        assert not cluster.leaders()
+        assert not cluster.node_by_id['v1'].agreed.is_admitted()
+        cluster.start('v2')
+        await cluster.wait_for_leader()
+        agreed = cluster.node_by_id['v3'].agreed
+        origin = cluster.make_change(
+            'x', limit=1, base=0, command_id='remove'
+        ).origin
+        await agreed.propose(
+            commands.RemoveVoter(origin=origin, node_id='v1'),
+            timeout_s=TIMEOUT_S,
+        )
+        disk_id = await agreed.find_disk('v1')
+        origin = cluster.make_change(
+            'x', limit=1, base=0, command_id='admit'
+        ).origin
+        result = await agreed.propose(
+            commands.AdmitVoter(origin=origin, node_id='v1', disk_id=disk_id),
+            timeout_s=TIMEOUT_S,
+        )
+        assert result.accepted
+        await cluster.wait_for_version(result.version)
+        await cluster.env.timer.sleep(5.0)
+        assert cluster.node_by_id['v1'].agreed.is_admitted()
+        await cluster.crash('v2')
+        result = await propose(cluster, 'v1', 'acme', 2)
+        assert result.accepted
+
+    run_cluster(scenario)
+
+
+@pytest.mark.parametrize('fault', ['is_full', 'is_stalled'])
+def test_a_leader_whose_disk_fails_steps_down(run_cluster, fault):
+    async def scenario(cluster):
+        leader = await cluster.wait_for_leader()
+        others = [v for v in cluster.voter_ids if v != leader]
+        setattr(cluster.disk_by_id[leader], fault, True)
+        await cluster.env.timer.sleep(1.0)
+        result = await propose(cluster, others[0], 'acme', 3)
+        assert result.accepted
+        await cluster.env.timer.sleep(70.0)
+        assert cluster.leaders() != [leader]
+        setattr(cluster.disk_by_id[leader], fault, False)
+        result = await propose(cluster, leader, 'acme', 4)
+        await cluster.env.timer.sleep(70.0)
+        assert limit_at(cluster, leader, 'acme') == 4
+
+    run_cluster(scenario)
+
+
+@pytest.mark.parametrize('point', list(disks.CrashPoint))
+def test_no_change_is_lost_at_any_sync_point(env, point):
+    """Crash the leader at each of its syncs in turn."""
+
+    async def scenario(crash_at):
+        cluster = clusters.MemoryCluster(env=env)
+        cluster.start_all()
+        try:
+            leader = await cluster.wait_for_leader()
+            disk = cluster.disk_by_id[leader]
+            disk.crash_point = point
+            disk.crash_at = disk.sync_count + crash_at
+            accepted = {}
+            for number in range(8):
+                name = f'account{number}'
+                result = await propose_somewhere(cluster, name, number)
+                assert result.accepted
+                accepted[name] = number
+            assert disk.deaths == (1 if crash_at <= 8 else disk.deaths)
+            for node_id in list(cluster.node_by_id):
+                await cluster.crash(node_id)
+            cluster.start_all()
+            await cluster.wait_for_leader()
+            await cluster.wait_for_version(8)
+            for node_id in cluster.node_by_id:
+                for name, number in accepted.items():
+                    assert limit_at(cluster, node_id, name) == number
+        finally:
+            await cluster.stop_all()
+
+    for crash_at in range(1, 13):
+        driven.run(scenario(crash_at))
