Keep cold engines within what they bear, and wait out short gaps

While an engine was cold its limit still grew with each answer; a broken stream only halved it; headers of a pooled answer could not be encoded for the entry that asked; a service whose only group was being repaired was refused at once; a taken-out entry refused callers before the balancer had noticed. Ruled out: credits, whose sum was right.

Change: a cold engine's limit stays at what it bears; a broken stream drops the limit to that; work beside our own in a report counts; header names are plain strings; requests wait up to 5 s for a place that was there a moment ago; a taken-out entry passes requests on for the grace of the readiness check.

--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A demonstration of the whole system on loopback."""
--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,32 @@
+"""Starts three nodes and their endpoints, and serves real requests."""
+
+import argparse
+import asyncio
+import pathlib
+import sys
+
+from demo import scenario
+
+
+def main() -> None:
+    """Run the demonstration; exit non-zero if a promise was broken."""
+    parser = argparse.ArgumentParser(prog='demo', description=__doc__)
+    parser.add_argument(
+        '--keep-running',
+        action='store_true',
+        help='leave the system running until interrupted',
+    )
+    parser.add_argument('--folder', default='.demo', type=pathlib.Path)
+    arguments = parser.parse_args()
+    if arguments.keep_running:
+        job = scenario.keep_running(arguments.folder)
+    else:
+        job = scenario.run(arguments.folder)
+    try:
+        sys.exit(asyncio.run(job))
+    except KeyboardInterrupt:
+        sys.exit(0)
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/daemon/src/apricotthread/daemon/node.py
+++ b/packages/daemon/src/apricotthread/daemon/node.py
@@ -126,6 +126,7 @@
             members=self.members,
             endpoints=self.endpoints,
             lease_s=settings.endpoint_lease_s,
+            ready_grace_s=settings.ready_grace_s,
         )
         self.schedule = scheduler.Scheduler(
             env=env,
@@ -296,6 +297,7 @@
     async def _wake_often(self) -> None:
         """Serve waiting requests as leases and heartbeats come and go."""
         async for _ in self.env.timer.subscribe(period_s=WAKE_PERIOD_S):
+            self.system.is_closed()
             self.schedule.wake()
 
     async def _fetch_state(self) -> None:
--- a/packages/endpoints/src/apricotthread/endpoints/client.py
+++ b/packages/endpoints/src/apricotthread/endpoints/client.py
@@ -63,7 +63,7 @@
         self.head = PlainHead(
             status=response.status,
             headers=tuple(
-                (name, value)
+                (str(name), value)
                 for name, value in response.headers.items()
                 if name.lower() not in HOP_HEADERS
             ),
--- a/packages/endpoints/src/apricotthread/endpoints/registry.py
+++ b/packages/endpoints/src/apricotthread/endpoints/registry.py
@@ -33,7 +33,7 @@
         self.usable_at = usable_at
         self.outstanding = 0
         self.reserved_bytes = 0
-        self.inherited = announcement.running
+        self.unaccounted = announcement.running
         self.seconds_per_token = 0.0
         self.ramp = ramps.Ramp(
             limit=announcement.max_requests,
@@ -54,14 +54,10 @@
             logs.log_event(
                 'endpoint_restarted', endpoint=announcement.endpoint_id
             )
-            self.inherited = 0
             self.ramp.restart()
         self.announcement = announcement
         self.received_at = now
-        self.inherited = min(
-            self.inherited,
-            max(0, announcement.running - self.outstanding),
-        )
+        self.unaccounted = max(0, announcement.running - self.outstanding)
         self.ramp.update(
             limit=announcement.max_requests,
             bear=announcement.bear_requests,
@@ -72,9 +68,10 @@
         """Return how many further requests it may take now.
 
         The load report lags, so own outstanding work counts first; the
-        report only adds what a former entry left running.
+        report adds what runs beside it, left by a former entry or
+        cancelled and not ended yet.
         """
-        return max(0, self.ramp.limit - self.outstanding - self.inherited)
+        return max(0, self.ramp.limit - self.outstanding - self.unaccounted)
 
     def free_bytes(self) -> int:
         """Return the memory that further requests may grow to."""
@@ -149,7 +146,7 @@
             )
             endpoint.outstanding = outstanding
             endpoint.reserved_bytes = reserved
-            endpoint.inherited = max(0, announcement.running - outstanding)
+            endpoint.unaccounted = max(0, announcement.running - outstanding)
             self.endpoint_by_id[announcement.endpoint_id] = endpoint
             logs.log_event(
                 'endpoint_announced', endpoint=announcement.endpoint_id
--- a/packages/fakes/src/apricotthread/fakes/endpointhost.py
+++ b/packages/fakes/src/apricotthread/fakes/endpointhost.py
@@ -67,7 +67,7 @@
             application,
             host='127.0.0.1',
             port=plan.port,
-            log_level='error',
+            log_level='critical',
             lifespan='off',
             timeout_graceful_shutdown=1,
         )
--- a/packages/routing/src/apricotthread/routing/dispatcher.py
+++ b/packages/routing/src/apricotthread/routing/dispatcher.py
@@ -88,8 +88,8 @@
                 endpoint.announcement.url, request
             ) as generated:
                 yield self._read_engine(endpoint, generated)
-        except errors.ApricotError:
-            endpoint.ramp.on_overloaded()
+        except errors.ApricotError as error:
+            note_failure(endpoint, error)
             raise
 
     async def _read_engine(
@@ -173,8 +173,8 @@
                 message='the service did not answer before the deadline',
                 ran=errors.Ran.UNKNOWN,
             ) from None
-        except errors.ApricotError:
-            endpoint.ramp.on_overloaded()
+        except errors.ApricotError as error:
+            note_failure(endpoint, error)
             raise
 
     async def _receive(
@@ -293,6 +293,20 @@
         await sink.send(messages.Done(), last=True)
 
 
+def note_failure(
+    endpoint: registry.Endpoint, error: errors.ApricotError
+) -> None:
+    """Lower an endpoint's limit after a failed request.
+
+    A refusal is a sign of load. Anything else may be a cold start that
+    the endpoint has not announced.
+    """
+    if error.code is errors.ErrorCode.OVERLOADED:
+        endpoint.ramp.on_overloaded()
+    else:
+        endpoint.ramp.restart()
+
+
 def make_dispatch(
     call: calls.AnyCall, *, offset: int, now: float
 ) -> messages.Dispatch:
--- a/packages/routing/src/apricotthread/routing/router.py
+++ b/packages/routing/src/apricotthread/routing/router.py
@@ -72,7 +72,7 @@
 
     def check_open(self) -> None:
         """Raise ApricotError when this node takes no new requests."""
-        if self._system.is_out(self._system.own.data_centre):
+        if self._system.is_closed():
             raise errors.ApricotError(
                 code=errors.ErrorCode.TAKEN_OUT,
                 message='this data centre is taken out; the request was not '
--- a/packages/routing/src/apricotthread/routing/scheduler.py
+++ b/packages/routing/src/apricotthread/routing/scheduler.py
@@ -17,6 +17,7 @@
 RATE_WINDOW_S = 5.0
 MIN_RATE_SAMPLE_S = 0.5
 NO_PLACE_RETRY_S = 2.0
+NO_PLACE_GRACE_S = 5.0  # a repair or a node's restart is shorter
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -107,6 +108,7 @@
         self._queue_by_service: dict[str, fairqueue.FairQueue] = {}
         self._meter_by_service: dict[str, RateMeter] = {}
         self._remote_use: dict[str, dict[str, RemoteUse]] = {}
+        self._place_seen_at: dict[str, float] = {}
 
     def _queue(self, service: str) -> fairqueue.FairQueue:
         return self._queue_by_service.setdefault(
@@ -186,7 +188,7 @@
         self, call: calls.AnyCall, queue: fairqueue.FairQueue
     ) -> None:
         """Refuse at once what would wait too long or find no place."""
-        if not self._has_any_place(call.service):
+        if not self._may_find_place(call.service):
             raise errors.ApricotError(
                 code=errors.ErrorCode.NO_CAPACITY,
                 message=f'no endpoint serves {call.service} at the moment',
@@ -228,8 +230,14 @@
             self._meter(service).add(waiter.call.cost)
             waiter.future.set_result(slot)
 
-    def _has_any_place(self, service: str) -> bool:
-        return bool(self._places(service, growth=0, prefix=''))
+    def _may_find_place(self, service: str) -> bool:
+        """Whether the service has a place, or had one a moment ago."""
+        now = self._env.timer.now()
+        if self._places(service, growth=0, prefix=''):
+            self._place_seen_at[service] = now
+            return True
+        seen_at = self._place_seen_at.get(service, float('-inf'))
+        return now - seen_at <= NO_PLACE_GRACE_S
 
     def _reserve_place(self, call: calls.AnyCall) -> Slot | None:
         """Reserve the best place that has room now."""
@@ -238,6 +246,7 @@
         best = placement.choose_place(places)
         if best is None:
             return None
+        self._place_seen_at[call.service] = self._env.timer.now()
         if best.node_id == self._system.own.node_id:
             return self._reserve_local(best.endpoint_id, call)
         self._remote_use[best.node_id][call.service].sent += 1
--- a/packages/routing/src/apricotthread/routing/view.py
+++ b/packages/routing/src/apricotthread/routing/view.py
@@ -39,9 +39,12 @@
         members: membership.Membership,
         endpoints: registry.Registry,
         lease_s: float,
+        ready_grace_s: float,
     ) -> None:
         self._env = env
         self._lease_s = lease_s
+        self._ready_grace_s = ready_grace_s
+        self._out_since: float | None = None
         self._agreed = agreed
         self._endpoints = endpoints
         self.own = own
@@ -72,6 +75,20 @@
             return True
         return data_centre == self.own.data_centre and self.is_out_locally()
 
+    def is_closed(self) -> bool:
+        """Whether this entry refuses callers, its data centre being out.
+
+        It fails its readiness check at once, but until the balancer has
+        noticed, it passes requests on to other data centres.
+        """
+        now = self._env.timer.now()
+        if not self.is_out(self.own.data_centre):
+            self._out_since = None
+            return False
+        if self._out_since is None:
+            self._out_since = now
+        return now - self._out_since > self._ready_grace_s
+
     def is_out_locally(self) -> bool:
         """Whether a node here was told to take the data centre out."""
         if self.local_mark is not None:
