Measure the rate of a queue only while requests wait

Cause: a test of a graceful stop got refusals as overloaded with idle engines. The rate by which waiting times are judged was taken over all time, so little demand looked like little capacity. Ruled out: the engines' limits, which had room.

Change: the rate is measured from the first waiting request to the last.

Conclusion: an estimate of a wait needs a queue to be measured on.

--- a/packages/routing/src/apricotthread/routing/scheduler.py
+++ b/packages/routing/src/apricotthread/routing/scheduler.py
@@ -60,34 +60,46 @@
 
 
 class RateMeter:
-    """The cost served each second, averaged over a short window."""
+    """The cost a second at which a queue is served while it is one.
+
+    Time without waiting requests does not count: what is served then
+    tells of the demand, not of what the places can do.
+    """
 
     def __init__(self, *, env: environment.Environment) -> None:
         self._env = env
         self._since: float | None = None
         self._cost = 0.0
-        self._rate = 0.0
 
-    def add(self, cost: float) -> None:
-        """Count cost that was started."""
-        now = self._env.timer.now()
+    def start(self) -> None:
+        """Begin to measure, as a request has to wait."""
         if self._since is None:
-            self._since = now
-        self._cost += cost
-        elapsed_s = now - self._since
-        if elapsed_s >= RATE_WINDOW_S:
-            self._rate = self._cost / elapsed_s
-            self._since = now
+            self._since = self._env.timer.now()
             self._cost = 0.0
 
-    def rate(self) -> float:
-        """Return the cost a second, 0 when not known yet."""
-        if self._rate:
-            return self._rate
+    def add(self, cost: float) -> None:
+        """Count a request that waited and was served."""
+        self._cost += cost
+        elapsed_s = self._elapsed_s()
+        if elapsed_s > RATE_WINDOW_S:
+            self._cost *= RATE_WINDOW_S / elapsed_s
+            self._since = self._env.timer.now() - RATE_WINDOW_S
+
+    def stop(self) -> None:
+        """End the measurement, as nothing waits any more."""
+        self._since = None
+
+    def _elapsed_s(self) -> float:
         if self._since is None:
             return 0.0
-        elapsed_s = self._env.timer.now() - self._since
-        return self._cost / elapsed_s if elapsed_s > MIN_RATE_SAMPLE_S else 0.0
+        return self._env.timer.now() - self._since
+
+    def rate(self) -> float:
+        """Return the cost a second, 0 when it is not known."""
+        elapsed_s = self._elapsed_s()
+        if elapsed_s < MIN_RATE_SAMPLE_S:
+            return 0.0
+        return self._cost / elapsed_s
 
 
 class Scheduler:
@@ -140,7 +152,6 @@
             slot = self._reserve_place(call)
             if slot is not None:
                 queue.charge(call, weight)
-                self._meter(call.service).add(call.cost)
                 return slot
         self._check_wait(call, queue)
         if queue.is_full:
@@ -153,6 +164,7 @@
             queue.pop(victim)
         future = asyncio.get_running_loop().create_future()
         waiter = queue.push(call, weight, future)
+        self._meter(call.service).start()
         return await self._wait_for_turn(queue, waiter)
 
     async def _wait_for_turn(
@@ -219,6 +231,7 @@
         while True:
             waiter = queue.peek()
             if waiter is None:
+                self._meter(service).stop()
                 return
             if not waiter.is_waiting:
                 queue.abandon(waiter)
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -16,6 +16,7 @@
 from apricotthread.routing import placement
 from apricotthread.routing import reassembly
 from apricotthread.routing import retries
+from apricotthread.routing import scheduler
 
 ACCOUNTS = ['a', 'b', 'c']
 WEIGHT = {'a': 1.0, 'b': 2.0, 'c': 5.0}
@@ -221,6 +222,26 @@
     assert ramp.limit == 2
 
 
+def test_little_demand_is_not_taken_for_little_capacity(env):
+    """Requests were refused as the rate of an idle time was low."""
+
+    async def main():
+        meter = scheduler.RateMeter(env=env)
+        for _ in range(10):
+            meter.start()
+            meter.add(1.0)
+            meter.stop()
+            await env.timer.sleep(10.0)
+        meter.start()
+        assert meter.rate() == 0.0
+        for _ in range(20):
+            await env.timer.sleep(0.1)
+            meter.add(1.0)
+        assert 9.0 < meter.rate() < 11.0
+
+    driven.run(main())
+
+
 def test_retries_stay_within_a_tenth_of_the_requests(env):
     budget = retries.RetryBudget(env=env)
     granted = 0
