Replay recorded traces of failures, and never cut an answer for budget

All requests that a broken group held drew on the retry budget at once and emptied it; the refusal of an engine that had lost its group counted as overload and was tried again there. Ruled out: the fake network, which first reordered frames of equal time and now keeps their order.

Conclusion: the budget is against retry storms; what was admitted once is no storm.

--- a/packages/base/src/apricotthread/base/errors.py
+++ b/packages/base/src/apricotthread/base/errors.py
@@ -32,6 +32,7 @@
     DRAINING = ('draining', 503)
     TAKEN_OUT = ('data_centre_taken_out', 503)
     DEADLINE = ('deadline_exceeded', 504)
+    GROUP_NOT_WHOLE = ('group_not_whole', 503)
     ENDPOINT_FAILED = ('endpoint_failed', 502)
     OUTCOME_UNKNOWN = ('outcome_unknown', 502)
     PEER_UNREACHABLE = ('peer_unreachable', 503)
--- a/packages/control/src/apricotthread/control/claims.py
+++ b/packages/control/src/apricotthread/control/claims.py
@@ -339,6 +339,11 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
+    def cancel(self) -> None:
+        """Give up what is still being asked and recorded."""
+        for task in self._tasks:
+            task.cancel()
+
     async def _record_until_majority(
         self, message: messages.ClaimOutcome
     ) -> bool:
--- a/packages/daemon/src/apricotthread/daemon/node.py
+++ b/packages/daemon/src/apricotthread/daemon/node.py
@@ -54,6 +54,7 @@
         env: environment.Environment,
         network: connections.Network | None = None,
         folder: folders.Folder | None = None,
+        endpoint_client: client.EndpointClient | None = None,
     ) -> None:
         self.settings = settings
         self.env = env
@@ -134,7 +135,7 @@
             queue_length=settings.queue_length,
             queue_wait_s=settings.queue_wait_s,
         )
-        self.endpoint_client = client.EndpointClient(
+        self.endpoint_client = endpoint_client or client.EndpointClient(
             env=env, stall_s=settings.stall_s
         )
         self.dispatch = dispatcher.Dispatcher(
@@ -292,6 +293,8 @@
                 if self.settings.own.is_voter:
                     tasks.create_task(self.groups.run())
         finally:
+            self.router.cancel_runs()
+            self.claimant.cancel()
             await self.endpoint_client.close()
 
     async def _wake_often(self) -> None:
--- a/packages/endpoints/src/apricotthread/endpoints/client.py
+++ b/packages/endpoints/src/apricotthread/endpoints/client.py
@@ -17,7 +17,8 @@
 MAX_LINE_BYTES = 64 * units.KIB
 READ_BUFFER_BYTES = 16 * units.KIB
 PLAIN_PIECE_BYTES = 16 * units.KIB
-REFUSED_STATUSES = (409, 429, 503)
+NOT_WHOLE_STATUS = 409
+REFUSED_STATUSES = (429, 503)
 NOT_RUN_HEADER = 'Request-Ran'
 HOP_HEADERS = frozenset(
     {
@@ -130,8 +131,9 @@
     ]:
         """Open a stream of generated pieces; leaving it cancels the rest.
 
-        Raises ApricotError: OVERLOADED when the engine refused, and
-        ENDPOINT_FAILED when it can not be reached or the stream breaks.
+        Raises ApricotError: OVERLOADED when the engine refused,
+        GROUP_NOT_WHOLE when its group is not there, and ENDPOINT_FAILED
+        when it can not be reached or the stream breaks.
         """
         try:
             async with self._pooled.post(
@@ -139,6 +141,12 @@
                 data=msgspec.json.encode(request),
                 headers={'Content-Type': 'application/json'},
             ) as response:
+                if response.status == NOT_WHOLE_STATUS:
+                    raise errors.ApricotError(
+                        code=errors.ErrorCode.GROUP_NOT_WHOLE,
+                        message=f'engine at {url} has lost its group',
+                        retry_after_s=1.0,
+                    )
                 if response.status in REFUSED_STATUSES:
                     raise errors.ApricotError(
                         code=errors.ErrorCode.OVERLOADED,
--- a/packages/endpoints/src/apricotthread/endpoints/registry.py
+++ b/packages/endpoints/src/apricotthread/endpoints/registry.py
@@ -9,6 +9,7 @@
 from apricotthread.endpoints import ramps
 
 SPEED_WEIGHT = 0.2  # weight of the newest sample in the moving average
+SUSPENSION_S = 1.0  # an endpoint that failed gets nothing for so long
 MEMORY_SHARE = 0.9  # share of an endpoint's memory that requests may grow to
 
 
@@ -35,6 +36,8 @@
         self.reserved_bytes = 0
         self.unaccounted = announcement.running
         self.seconds_per_token = 0.0
+        self._suspended_until = float('-inf')
+        self._suspended_fencing = 0
         self.ramp = ramps.Ramp(
             limit=announcement.max_requests,
             bear=announcement.bear_requests,
@@ -64,6 +67,23 @@
             cold=announcement.cold,
         )
 
+    def suspend(self, now: float) -> None:
+        """Send nothing new for a while, as a request has failed.
+
+        What the announcements say of a death or of a broken group comes
+        later. A newer fencing number ends the suspension.
+        """
+        self.ramp.restart()
+        self._suspended_until = now + SUSPENSION_S
+        self._suspended_fencing = self.announcement.fencing
+
+    def is_suspended(self, now: float) -> bool:
+        """Whether the endpoint gets nothing new at the moment."""
+        return (
+            now < self._suspended_until
+            and self._suspended_fencing == self.announcement.fencing
+        )
+
     def free_requests(self) -> int:
         """Return how many further requests it may take now.
 
@@ -165,9 +185,11 @@
 
     def is_usable(self, endpoint: Endpoint) -> bool:
         """Whether new work may go to the endpoint, by its own word."""
+        now = self._env.timer.now()
         return (
             self.is_fresh(endpoint)
-            and self._env.timer.now() >= endpoint.usable_at
+            and now >= endpoint.usable_at
+            and not endpoint.is_suspended(now)
             and not endpoint.announcement.leaving
         )
 
--- a/packages/fakes/src/apricotthread/fakes/cluster.py
+++ b/packages/fakes/src/apricotthread/fakes/cluster.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+import typing
 
 from apricotthread.base import environment
 from apricotthread.base import metrics
@@ -10,8 +11,12 @@
 from apricotthread.control import commands
 from apricotthread.control import tables
 from apricotthread.daemon import node
+from apricotthread.fakes import announcers
+from apricotthread.fakes import directclient
 from apricotthread.fakes import disks
+from apricotthread.fakes import engines
 from apricotthread.fakes import networks
+from apricotthread.fakes import workers
 
 SETTLE_S = 30.0
 POLL_S = 0.05
@@ -26,8 +31,10 @@
         env: environment.Environment,
         voters: int = 3,
         learners: int = 0,
+        **settings: typing.Any,
     ) -> None:
         self.env = env
+        self._settings = settings
         self.hub = networks.Hub(env=env)
         names = [f'v{number}' for number in range(1, voters + 1)]
         names += [f'l{number}' for number in range(1, learners + 1)]
@@ -48,8 +55,11 @@
         self.disk_by_id = {
             name: disks.FakeDisk(timer=env.timer) for name in names
         }
+        self.fleet = engines.EngineFleet(env=env, base_url='')
+        self.pool = workers.WorkerPool(env=env, base_url='')
         self.node_by_id: dict[str, node.Node] = {}
         self._task_by_id: dict[str, asyncio.Task] = {}
+        self._announcing: list[asyncio.Task] = []
 
     @property
     def voter_ids(self) -> list[str]:
@@ -68,6 +78,7 @@
             endpoint_port=2,
             operator_port=3,
             node_by_id=self.address_by_id,
+            **self._settings,
         )
         env = environment.Environment(
             timer=self.env.timer,
@@ -81,6 +92,12 @@
             env=env,
             network=networks.NodeNetwork(hub=self.hub, node_id=node_id),
             folder=disk,
+            endpoint_client=directclient.DirectClient(
+                env=env,
+                fleet=self.fleet,
+                pool=self.pool,
+                stall_s=settings.stall_s,
+            ),
         )
         self.node_by_id[node_id] = started
         task = asyncio.create_task(started.run_parts())
@@ -92,6 +109,35 @@
         for node_id in self.address_by_id:
             self.start(node_id)
 
+    def start_endpoints(self) -> None:
+        """Have every fake endpoint announce itself in its data centre."""
+        for endpoint in (
+            *self.fleet.vm_by_id.values(),
+            *self.pool.worker_by_id.values(),
+        ):
+            task = asyncio.create_task(self._announce(endpoint))
+            self._announcing.append(task)
+
+    async def _announce(
+        self, endpoint: engines.EngineVm | workers.PlainWorker
+    ) -> None:
+        """Announce to the first entry of the data centre that lives."""
+        async for _ in self.env.timer.subscribe(
+            period_s=announcers.ANNOUNCE_S
+        ):
+            home = next(
+                (
+                    running
+                    for running in self.node_by_id.values()
+                    if running.settings.data_centre == endpoint.data_centre
+                    and not running.system.draining
+                ),
+                None,
+            )
+            announcement = endpoint.announce()
+            if home is not None and announcement is not None:
+                home.endpoints.announce(announcement)
+
     async def crash(self, node_id: str) -> None:
         """Kill a node; only what its disk has synced is left."""
         self.disk_by_id[node_id].is_dead = True
@@ -107,7 +153,9 @@
             await task
 
     async def stop_all(self) -> None:
-        """End every node."""
+        """End every node and endpoint."""
+        for task in self._announcing:
+            task.cancel()
         for node_id in list(self._task_by_id):
             await self.crash(node_id)
 
--- a/packages/fakes/src/apricotthread/fakes/engines.py
+++ b/packages/fakes/src/apricotthread/fakes/engines.py
@@ -69,6 +69,8 @@
         self.falls = 0
         self.peak_running = 0
         self.served = 0
+        self.partial_starts = 0
+        self.last_start_at = float('-inf')
         self.generated_tokens = 0
         self._clear()
 
@@ -182,6 +184,8 @@
 
     def _enter(self, need_bytes: int) -> None:
         """Take a request in; too many make the engine fall over."""
+        self.last_start_at = self._env.timer.now()
+        self.partial_starts += not self.is_whole()
         self.running += 1
         self.used_bytes += need_bytes
         self.peak_running = max(self.peak_running, self.running)
--- a/packages/fakes/src/apricotthread/fakes/networks.py
+++ b/packages/fakes/src/apricotthread/fakes/networks.py
@@ -8,6 +8,7 @@
 from apricotthread.nodes import framing
 
 LATENCY_S = 0.001
+ORDER_S = 1e-6  # between frames of a connection, to keep their order
 
 
 class Hub:
@@ -89,7 +90,7 @@
         env = self._hub.env
         delay_s = self._hub.latency_s
         delay_s += self._hub.jitter_s * env.random.random()
-        at = max(env.timer.now() + delay_s, self._last_at)
+        at = max(env.timer.now() + delay_s, self._last_at + ORDER_S)
         self._last_at = at
         loop = asyncio.get_running_loop()
         loop.call_at(at, self._arrive, encoded)
--- a/packages/fakes/src/apricotthread/fakes/workers.py
+++ b/packages/fakes/src/apricotthread/fakes/workers.py
@@ -40,6 +40,7 @@
         self.running = 0
         self.dead = False
         self.drop_answers = False
+        self.last_start_at = float('-inf')
 
     def announce(self) -> announcements.Announcement | None:
         """Return the next announcement, None while dead."""
@@ -114,22 +115,23 @@
         """Return the HTTP application of the whole pool."""
         return applications.Starlette(routes=self.make_routes())
 
-    async def _work(self, request: requests.Request) -> responses.Response:
-        worker = self.worker_by_id[request.path_params['worker']]
-        body = await request.body()
+    async def run_call(self, worker: PlainWorker, call: str) -> str:
+        """Run a call on a worker, count it, and return the answer."""
         worker.running += 1
+        worker.last_start_at = self._env.timer.now()
         try:
-            if request.method != 'GET':
-                self.runs_by_call[body.decode()] += 1
+            self.runs_by_call[call] += 1
             await self._env.timer.sleep(worker.work_s)
         finally:
             worker.running -= 1
+        return f'{worker.endpoint_id} ran {call}'
+
+    async def _work(self, request: requests.Request) -> responses.Response:
+        worker = self.worker_by_id[request.path_params['worker']]
+        call = (await request.body()).decode()
+        answer = await self.run_call(worker, call)
         return responses.JSONResponse(
-            {
-                'worker': worker.endpoint_id,
-                'path': request.path_params['path'],
-                'echo': body.decode(),
-            }
+            {'answer': answer, 'path': request.path_params['path']}
         )
 
     async def _show_runs(
--- a/packages/routing/src/apricotthread/routing/dispatcher.py
+++ b/packages/routing/src/apricotthread/routing/dispatcher.py
@@ -64,7 +64,7 @@
                 body = make_dispatch(call, offset=offset, now=self._now())
                 link = self._link_by_id[node_id]
                 async with link.open_stream(body) as stream:
-                    await self._receive(stream, self._remote_stall_s)
+                    await self._receive_head(stream, self._remote_stall_s)
                     yield self._receive_pieces(stream, self._remote_stall_s)
 
     def _now(self) -> float:
@@ -89,9 +89,22 @@
             ) as generated:
                 yield self._read_engine(endpoint, generated)
         except errors.ApricotError as error:
-            note_failure(endpoint, error)
+            self._note_failure(endpoint, error)
             raise
 
+    def _note_failure(
+        self, endpoint: registry.Endpoint, error: errors.ApricotError
+    ) -> None:
+        """Lower an endpoint's limit after a refusal, else suspend it.
+
+        A failure may be a death, a broken group or a cold start that the
+        endpoint has not announced yet.
+        """
+        if error.code is errors.ErrorCode.OVERLOADED:
+            endpoint.ramp.on_overloaded()
+        else:
+            endpoint.suspend(self._now())
+
     async def _read_engine(
         self,
         endpoint: registry.Endpoint,
@@ -134,7 +147,7 @@
                 link = self._link_by_id[node_id]
                 remaining_s = call.deadline - self._now()
                 async with link.open_stream(body) as stream:
-                    head = await self._receive(stream, remaining_s)
+                    head = await self._receive_head(stream, remaining_s)
                     yield PlainAnswer(
                         head=client.PlainHead(
                             status=head.status,
@@ -174,7 +187,7 @@
                 ran=errors.Ran.UNKNOWN,
             ) from None
         except errors.ApricotError as error:
-            note_failure(endpoint, error)
+            self._note_failure(endpoint, error)
             raise
 
     async def _receive(
@@ -191,6 +204,19 @@
                 ran=errors.Ran.UNKNOWN,
             ) from None
 
+    async def _receive_head(
+        self, stream: links.ReplyStream, timeout_s: float
+    ) -> messages.DispatchHead:
+        reply = await self._receive(stream, timeout_s)
+        match reply:
+            case messages.DispatchHead():
+                return reply
+        raise errors.ApricotError(
+            code=errors.ErrorCode.PROTOCOL,
+            message=f'answer begins with {type(reply).__name__}',
+            ran=errors.Ran.UNKNOWN,
+        )
+
     async def _receive_pieces(
         self, stream: links.ReplyStream, timeout_s: float
     ) -> Pieces:
@@ -293,20 +319,6 @@
         await sink.send(messages.Done(), last=True)
 
 
-def note_failure(
-    endpoint: registry.Endpoint, error: errors.ApricotError
-) -> None:
-    """Lower an endpoint's limit after a failed request.
-
-    A refusal is a sign of load. Anything else may be a cold start that
-    the endpoint has not announced.
-    """
-    if error.code is errors.ErrorCode.OVERLOADED:
-        endpoint.ramp.on_overloaded()
-    else:
-        endpoint.ramp.restart()
-
-
 def make_dispatch(
     call: calls.AnyCall, *, offset: int, now: float
 ) -> messages.Dispatch:
--- a/packages/routing/src/apricotthread/routing/router.py
+++ b/packages/routing/src/apricotthread/routing/router.py
@@ -30,6 +30,11 @@
     errors.ErrorCode.TAKEN_OUT,
     errors.ErrorCode.DRAINING,
     errors.ErrorCode.PEER_UNREACHABLE,
+    errors.ErrorCode.GROUP_NOT_WHOLE,
+)
+DEATH_CODES = (
+    errors.ErrorCode.ENDPOINT_FAILED,
+    errors.ErrorCode.PEER_UNREACHABLE,
 )
 
 
@@ -150,6 +155,7 @@
         offset = call.offset
         tries = 0
         while True:
+            begun_at = offset
             failure = None
             finished = False
             try:
@@ -172,7 +178,7 @@
             if finished:
                 return
             if failure is not None:
-                tries += 1
+                tries = 1 if offset > begun_at else tries + 1
                 await self._wait_before_retry(call, failure, tries)
             else:
                 self._env.metrics.count('answers_parked')
@@ -211,18 +217,22 @@
     ) -> None:
         """Return when the request may be tried again, else raise.
 
-        A place that was gone costs nothing; other failures draw on the
-        service's retry budget. Nothing is tried after the deadline.
+        A place that was gone costs nothing, and neither does the first
+        failure since the answer last went on: what an endpoint held when
+        it died is no more than was admitted before. Further failures and
+        refusals draw on the service's retry budget. Nothing is tried
+        after the deadline.
         """
         is_place_gone = (
             failure.ran is errors.Ran.NO and failure.code in PLACE_CODES
         )
+        is_free = is_place_gone or (tries == 1 and failure.code in DEATH_CODES)
         may_retry = tries <= MAX_TRIES and (
-            is_place_gone or self._retry_budget.spend(call.service)
+            is_free or self._retry_budget.spend(call.service)
         )
         if not may_retry:
             raise failure
-        delay_s = 0.0 if is_place_gone else self._retry_budget.backoff_s(tries)
+        delay_s = 0.0 if is_free else self._retry_budget.backoff_s(tries)
         if self._env.timer.now() + delay_s >= call.deadline:
             raise failure
         await self._env.timer.sleep(delay_s)
@@ -367,6 +377,11 @@
             async with self._env.timer.timeout(OUTCOME_WAIT_S):
                 await asyncio.shield(task)
 
+    def cancel_runs(self) -> None:
+        """Give up calls that run on without their caller."""
+        for task in self._single_runs:
+            task.cancel()
+
     @property
     def open_runs(self) -> int:
         """How many calls run on although their caller may be gone."""
--- /dev/null
+++ b/tests/replay.py
@@ -0,0 +1,409 @@
+"""Replays a recorded trace on real nodes and judges its outcome.
+
+A trace is a file of JSON lines: a header, events with the seconds at
+which they happen, and the stated outcome. Callers send requests all the
+while, through entries that say that they are ready.
+"""
+
+import asyncio
+import collections
+import itertools
+import json
+import pathlib
+
+from apricotthread.base import errors
+from apricotthread.control import commands
+from apricotthread.control import tables
+from apricotthread.fakes import answers
+from apricotthread.fakes import cluster as clusters
+from apricotthread.fakes import driven
+from apricotthread.fakes import engines
+from apricotthread.routing import calls
+
+START_S = 20.0
+WATCH_S = 0.05
+MAX_TOKENS = 40
+TIMEOUT_S = 30.0
+PROPOSE_TIMEOUT_S = 15.0
+IN_FORCE_S = 6.0
+
+
+class Replay:
+    """One run of a trace."""
+
+    def __init__(self, path: pathlib.Path) -> None:
+        lines = [json.loads(line) for line in path.read_text().splitlines()]
+        self.header = lines[0]
+        self.events = [line for line in lines if 'do' in line]
+        self.expected = lines[-1]['expect']
+        self.counts = collections.Counter()
+        self.codes = collections.Counter()
+        self.env = driven.make_environment(self.header.get('seed', 1))
+        self.cluster = None
+        self.running = True
+        self._numbers = itertools.count(1)
+        self._bid_answers = collections.defaultdict(list)
+        self._calls_by_node = collections.defaultdict(set)
+        self._out_at = {}
+        self._versions = {}
+
+    def run(self) -> dict[str, int]:
+        """Replay the trace; return what was counted."""
+        driven.run(self._run())
+        return dict(self.counts)
+
+    async def _run(self) -> None:
+        header = self.header
+        self.cluster = clusters.MemoryCluster(
+            env=self.env,
+            learners=header.get('learners', 3),
+            **header.get('settings', {}),
+        )
+        self._add_endpoints()
+        self.cluster.start_all()
+        self.cluster.start_endpoints()
+        await self.cluster.wait_for_leader()
+        await self._set_table(header.get('group_vms', 2))
+        await self.env.timer.sleep(START_S)
+        tasks = [
+            *(
+                asyncio.create_task(self._call_model())
+                for _ in range(header.get('model_callers', 6))
+            ),
+            *(
+                asyncio.create_task(self._send_bids())
+                for _ in range(header.get('bid_callers', 3))
+            ),
+        ]
+        watching = asyncio.create_task(self._watch())
+        await self._play()
+        self.running = False
+        await asyncio.gather(*tasks)
+        watching.cancel()
+        self._judge()
+        await self.cluster.stop_all()
+
+    def _add_endpoints(self) -> None:
+        traits = engines.EngineTraits(**self.header.get('traits', {}))
+        for number in (1, 2, 3):
+            data_centre = f'dc{number}'
+            for vm in range(self.header.get('vms', 5)):
+                self.cluster.fleet.add_vm(
+                    endpoint_id=f'{data_centre}-vm{vm}',
+                    data_centre=data_centre,
+                    fabric_domain=f'{data_centre}-fabric',
+                    traits=traits,
+                )
+            self.cluster.pool.add_worker(
+                endpoint_id=f'{data_centre}-w',
+                data_centre=data_centre,
+                service='bidding',
+            )
+
+    async def _set_table(self, group_vms: int) -> None:
+        rows = [
+            tables.ServiceRow(
+                name='describe', type='model', group_vms=group_vms
+            ),
+            tables.ServiceRow(name='bidding', type='plain'),
+            tables.AccountRow(name='acme', limit=600),
+        ]
+        await self._propose('v1', self._edit(rows))
+
+    def _edit(self, rows) -> commands.ChangeRows:
+        return commands.ChangeRows(
+            origin=self._origin(),
+            base_version=10**9,
+            edits=[
+                commands.RowEdit(key=tables.key_of(row), row=row)
+                for row in rows
+            ],
+        )
+
+    def _origin(self) -> commands.Origin:
+        return commands.Origin(
+            command_id=f'c{next(self._numbers)}',
+            operator='replay',
+            source='trace',
+            wall_time_s=self.env.timer.wall_time(),
+        )
+
+    async def _propose(self, node_id, command) -> commands.Result | None:
+        node = self.cluster.node_by_id[node_id]
+        try:
+            return await node.agreed.propose(
+                command, timeout_s=PROPOSE_TIMEOUT_S
+            )
+        except errors.ApricotError as error:
+            self.codes[error.code.label] += 1
+            return None
+
+    # Events
+
+    async def _play(self) -> None:
+        begun = self.env.timer.now()
+        for event in self.events:
+            await self._sleep_until(begun + event['at'])
+            await self._do(event)
+        await self._sleep_until(begun + self.header['seconds'])
+
+    async def _sleep_until(self, moment: float) -> None:
+        await self.env.timer.sleep(max(0.0, moment - self.env.timer.now()))
+
+    async def _do(self, event: dict) -> None:
+        cluster = self.cluster
+        vms = cluster.fleet.vm_by_id
+        match event['do']:
+            case 'kill_vm':
+                vms[event['vm']].kill()
+            case 'restart_vm':
+                vms[event['vm']].restart()
+            case 'silence_vm':
+                vms[event['vm']].silent = True
+            case 'speak_vm':
+                vms[event['vm']].silent = False
+            case 'slow_vm':
+                vms[event['vm']].slow_factor = event['factor']
+            case 'leave_vm':
+                vms[event['vm']].leaving = True
+            case 'kill_domain':
+                for vm in vms.values():
+                    if vm.fabric_domain == event['domain']:
+                        vm.kill()
+            case 'restart_domain':
+                for vm in vms.values():
+                    if vm.fabric_domain == event['domain']:
+                        vm.restart()
+            case 'late_order':
+                vms[event['vm']].order(self._old_order(event))
+            case 'drop_answers':
+                cluster.pool.worker_by_id[event['worker']].drop_answers = True
+            case 'give_answers':
+                cluster.pool.worker_by_id[event['worker']].drop_answers = False
+            case 'crash':
+                node_id = self._node_named(event['node'])
+                for task in list(self._calls_by_node[node_id]):
+                    task.cancel()
+                await cluster.crash(node_id)
+            case 'start':
+                for node_id in cluster.address_by_id:
+                    if node_id not in cluster.node_by_id:
+                        cluster.start(node_id)
+            case 'cut_dc':
+                self._cut_data_centre(event['dc'])
+            case 'heal':
+                cluster.hub.heal()
+            case 'take_out' | 'bring_back':
+                await self._mark(event)
+            case 'change':
+                await self._change(event)
+
+    def _node_named(self, name: str) -> str:
+        if name != 'leader':
+            return name
+        return self.cluster.leaders()[0]
+
+    def _old_order(self, event: dict):
+        return engines.announcements.Order(
+            action='join', fencing=event['fencing'], group_id='old'
+        )
+
+    def _cut_data_centre(self, name: str) -> None:
+        addresses = self.cluster.address_by_id.values()
+        inside = [a.node_id for a in addresses if a.data_centre == name]
+        for one in inside:
+            for other in self.cluster.address_by_id:
+                if other not in inside:
+                    self.cluster.hub.cut_both(one, other)
+
+    async def _mark(self, event: dict) -> None:
+        out = event['do'] == 'take_out'
+        result = await self._propose(
+            event.get('node', 'v1'),
+            commands.MarkDataCentre(
+                origin=self._origin(),
+                base_version=10**9,
+                data_centre=event['dc'],
+                out=out,
+            ),
+        )
+        if result is not None and result.accepted:
+            self.counts['marks_accepted'] += 1
+            self._out_at.pop(event['dc'], None)
+            if out:
+                self._out_at[event['dc']] = self.env.timer.now()
+
+    async def _change(self, event: dict) -> None:
+        row = tables.AccountRow(name='acme', limit=event['limit'])
+        result = await self._propose(
+            event.get('node', 'v1'), self._edit([row])
+        )
+        if result is None or not result.accepted:
+            self.counts['changes_refused'] += 1
+            return
+        self.counts['changes_accepted'] += 1
+        await self.env.timer.sleep(IN_FORCE_S)
+        if not event.get('everywhere', True):
+            return
+        for node in self.cluster.node_by_id.values():
+            if node.agreed.state.version < result.version:
+                self.counts['late_versions'] += 1
+
+    # Callers
+
+    def _choose_entry(self):
+        """Do as the balancer does: use a node that says it is ready."""
+        ready = [
+            node
+            for node in self.cluster.node_by_id.values()
+            if not node.why_not_ready()
+        ]
+        return self.env.random.choice(ready) if ready else None
+
+    async def _through(self, entry, job) -> None:
+        """Run a call at an entry; it ends when the entry crashes."""
+        task = asyncio.create_task(job)
+        calls_there = self._calls_by_node[entry.settings.node_id]
+        calls_there.add(task)
+        await asyncio.wait([task])
+        calls_there.discard(task)
+        if task.cancelled():
+            self.counts['interrupted'] += 1
+        else:
+            task.result()
+
+    async def _call_model(self) -> None:
+        while self.running:
+            entry = self._choose_entry()
+            if entry is not None:
+                prompt = f'lot {next(self._numbers)}'
+                await self._through(entry, self._ask(entry, prompt))
+            await self.env.timer.sleep(0.05)
+
+    async def _ask(self, entry, prompt: str) -> None:
+        self.counts['sent'] += 1
+        text = ''
+        call = calls.ModelCall(
+            request_id=f'r{next(self._numbers)}',
+            account='acme',
+            service='describe',
+            kind='k',
+            cost=1.0,
+            deadline=self.env.timer.now() + TIMEOUT_S,
+            prompt=prompt,
+            max_tokens=MAX_TOKENS,
+        )
+        try:
+            async with entry.router.open_model(call) as buffer:
+                while (piece := await buffer.take()) is not None:
+                    text += piece.data.decode()
+                    await self.env.timer.sleep(
+                        self.header.get('reader_s', 0.0)
+                    )
+        except errors.ApricotError as error:
+            self.codes[error.code.label] += 1
+            self.counts['cut' if text else 'refused'] += 1
+            return
+        if text == answers.whole_answer(prompt, MAX_TOKENS):
+            self.counts['whole'] += 1
+        else:
+            self.counts['wrong'] += 1
+
+    async def _send_bids(self) -> None:
+        while self.running:
+            bid = f'bid {next(self._numbers)}'
+            for _ in range(self.header.get('tries', 2)):
+                entry = self._choose_entry()
+                if entry is not None:
+                    await self._through(entry, self._bid(entry, bid))
+            await self.env.timer.sleep(0.2)
+
+    async def _bid(self, entry, bid: str) -> None:
+        call = calls.PlainCall(
+            request_id=f'r{next(self._numbers)}',
+            account='acme',
+            service='bidding',
+            kind='bid',
+            cost=1.0,
+            deadline=self.env.timer.now() + TIMEOUT_S,
+            method='POST',
+            path='/bids',
+            headers=(),
+            body=bid.encode(),
+            repeatable=False,
+            idempotency_key=bid,
+        )
+        try:
+            async with entry.router.open_plain(call) as answer:
+                body = b''.join([data async for data in answer.body])
+        except errors.ApricotError as error:
+            self.codes[error.code.label] += 1
+            self._bid_answers[bid].append(error.ran.value)
+            return
+        except asyncio.CancelledError:
+            self._bid_answers[bid].append('interrupted')
+            raise
+        self._bid_answers[bid].append('answered')
+        if not body.endswith(bid.encode()):
+            self.counts['wrong'] += 1
+
+    # Judging
+
+    async def _watch(self) -> None:
+        """Look for broken promises all the while."""
+        async for now in self.env.timer.subscribe(period_s=WATCH_S):
+            self._watch_groups()
+            self._watch_versions()
+            for name, since in self._out_at.items():
+                late = now - since > IN_FORCE_S / 2 and any(
+                    endpoint.last_start_at > since + IN_FORCE_S / 2
+                    for endpoint in self._endpoints_of(name)
+                )
+                self.counts['work_while_out'] += late
+
+    def _endpoints_of(self, data_centre: str):
+        return [
+            endpoint
+            for endpoint in (
+                *self.cluster.fleet.vm_by_id.values(),
+                *self.cluster.pool.worker_by_id.values(),
+            )
+            if endpoint.data_centre == data_centre
+        ]
+
+    def _watch_groups(self) -> None:
+        for node in self.cluster.node_by_id.values():
+            held = [
+                member.endpoint_id
+                for group in node.agreed.state.content.group_by_id.values()
+                for member in (*group.members, *group.departed)
+            ]
+            self.counts['in_two_groups'] += len(held) - len(set(held))
+
+    def _watch_versions(self) -> None:
+        for node_id, node in self.cluster.node_by_id.items():
+            version = node.agreed.state.version
+            known = self._versions.get((node_id, id(node)), 0)
+            self.counts['reverted'] += version < known
+            self._versions[node_id, id(node)] = version
+
+    def _judge(self) -> None:
+        vms = self.cluster.fleet.vm_by_id.values()
+        self.counts['falls'] = sum(vm.falls for vm in vms)
+        self.counts['partial_starts'] = sum(vm.partial_starts for vm in vms)
+        runs = self.cluster.pool.runs_by_call
+        for bid, outcomes in self._bid_answers.items():
+            self.counts['bids'] += 1
+            self.counts['bids_answered'] += 'answered' in outcomes
+            self.counts['doubled'] += runs[bid] > 1
+            self.counts['lost'] += 'answered' in outcomes and not runs[bid]
+            self.counts['false_refusals'] += (
+                set(outcomes) == {'no'} and runs[bid] > 0
+            )
+        self.counts['parked'] = sum(
+            node.env.metrics.count_by_name['answers_parked']
+            for node in self.cluster.node_by_id.values()
+        )
+        self.counts['peak_bytes'] = max(
+            node.budget.peak_bytes for node in self.cluster.node_by_id.values()
+        )
