Hold an account's credit only while an endpoint works, and add benches

The restart grace of the limits began with the first look at them, not with the node.

Change: place and credit are taken together for each phase at an endpoint and given back when it ends; a phase is renewed after the longest request time.

--- a/bench/entry.py
+++ b/bench/entry.py
@@ -17,9 +17,17 @@
 STREAMS = 200
 IDLE_STREAMS = 500
 TOKENS = 300
-TRAITS = engines.EngineTraits(
-    max_requests=2000, bear_requests=2000, cold_requests=0, token_s=0.02
-)
+TOKEN_S = (0.02, 0.005)  # an engine with many requests, and with few
+
+
+def make_traits(token_s: float) -> engines.EngineTraits:
+    """Return an engine that takes any load and starts warm."""
+    return engines.EngineTraits(
+        max_requests=2000,
+        bear_requests=2000,
+        cold_requests=0,
+        token_s=token_s,
+    )
 
 
 async def time_direct(http: aiohttp.ClientSession, site: rig.Site) -> float:
@@ -127,9 +135,10 @@
 
 
 async def measure_tokens(
-    http: aiohttp.ClientSession, site: rig.Site
+    http: aiohttp.ClientSession, site: rig.Site, token_s: float
 ) -> list[dict]:
     """Return what a token costs, at the rate of the engines."""
+    streams = int(STREAMS * token_s / TOKEN_S[0])
     pid = site.pid(site.nodes[0].node_id)
     rows = []
     seen = await site.system.try_status(http, site.nodes[0].node_id)
@@ -143,17 +152,17 @@
         started = time.perf_counter()
         if way == 'direct':
             jobs = (
-                read_engine(http, site, n, group_id) for n in range(STREAMS)
+                read_engine(http, site, n, group_id) for n in range(streams)
             )
         else:
-            jobs = (read_stream(http, site, n, TOKENS) for n in range(STREAMS))
+            jobs = (read_stream(http, site, n, TOKENS) for n in range(streams))
         sizes = await asyncio.gather(*jobs)
         elapsed = time.perf_counter() - started
         used = rig.cpu_seconds(pid) - cpu
-        count = STREAMS * TOKENS
+        count = streams * TOKENS
         rows.append(
             {
-                'measure': f'tokens, {way}',
+                'measure': f'tokens {token_s * 1000:g} ms apart, {way}',
                 'tokens_per_second': round(count / elapsed),
                 'cpu_us_per_token': round(used / count * 1e6, 1),
                 'cpu_share': round(used / elapsed, 2),
@@ -184,11 +193,20 @@
 
 async def main() -> None:
     """Measure one entry process."""
-    async with rig.run_site(traits=TRAITS) as (site, http):
-        rig.write_rows('entry_latency', [await measure_latency(http, site)])
-        rig.write_rows('entry_requests', [await measure_requests(http, site)])
-        rig.write_rows('entry_tokens', await measure_tokens(http, site))
-        rig.write_rows('entry_memory', [await measure_memory(http, site)])
+    tokens = []
+    for token_s in TOKEN_S:
+        traits = make_traits(token_s)
+        async with rig.run_site(traits=traits) as (site, http):
+            tokens.extend(await measure_tokens(http, site, token_s))
+            if token_s != TOKEN_S[0]:
+                continue
+            latency = await measure_latency(http, site)
+            rig.write_rows('entry_latency', [latency])
+            requests = await measure_requests(http, site)
+            rig.write_rows('entry_requests', [requests])
+            memory = await measure_memory(http, site)
+            rig.write_rows('entry_memory', [memory])
+    rig.write_rows('entry_tokens', tokens)
 
 
 if __name__ == '__main__':
--- a/bench/rig.py
+++ b/bench/rig.py
@@ -91,36 +91,39 @@
             limits=limits,
         )
         self._group_vms = group_vms
-        (port,) = localsystem.find_free_ports(1)
         entries: dict[str, list[str]] = {}
         for node in self.nodes:
             entries.setdefault(node.data_centre, []).append(node.endpoint_url)
-        self.host_url = f'http://{localsystem.HOST}:{port}'
-        self._plan = endpointhost.HostPlan(
-            port=port,
-            entries_by_data_centre=entries,
-            vms=[
-                endpointhost.VmPlan(
-                    endpoint_id=f'{name}-vm{number}',
-                    data_centre=name,
-                    fabric_domain=f'{name}-fabric',
-                    traits=traits or engines.EngineTraits(cold_requests=0),
-                )
-                for name in names
-                for number in range(vms)
-            ],
-            workers=[
-                endpointhost.WorkerPlan(
-                    endpoint_id=f'{name}-w{number}',
-                    data_centre=name,
-                    service='bidding',
-                )
-                for name in names
-                for number in range(workers)
-            ],
+        ports = dict(
+            zip(names, localsystem.find_free_ports(len(names)), strict=True)
         )
+        self.host_url = f'http://{localsystem.HOST}:{ports[names[0]]}'
+        self._plan_by_data_centre = {
+            name: endpointhost.HostPlan(
+                port=ports[name],
+                entries_by_data_centre=entries,
+                vms=[
+                    endpointhost.VmPlan(
+                        endpoint_id=f'{name}-vm{number}',
+                        data_centre=name,
+                        fabric_domain=f'{name}-fabric',
+                        traits=traits or engines.EngineTraits(cold_requests=0),
+                    )
+                    for number in range(vms)
+                ],
+                workers=[
+                    endpointhost.WorkerPlan(
+                        endpoint_id=f'{name}-w{number}',
+                        data_centre=name,
+                        service='bidding',
+                    )
+                    for number in range(workers)
+                ],
+            )
+            for name in names
+        }
         self._vms = vms * data_centres
-        self._host: asyncio.subprocess.Process | None = None
+        self._hosts: dict[str, asyncio.subprocess.Process] = {}
 
     def pid(self, node_id: str) -> int:
         """Return the process id of a node."""
@@ -129,14 +132,8 @@
     async def start(self, http: aiohttp.ClientSession) -> None:
         """Start everything; return once every group serves."""
         await self.system.start()
-        path = self.folder / 'endpoints.json'
-        path.write_bytes(msgspec.json.encode(self._plan))
-        self._host = await asyncio.create_subprocess_exec(
-            sys.executable,
-            '-m',
-            'apricotthread.fakes.endpointhost',
-            str(path),
-        )
+        for name in self._plan_by_data_centre:
+            await self.start_host(name)
         await self.system.wait_for_leader(http)
         await self.system.change_rows(
             http, self.nodes[0].node_id, self._rows()
@@ -144,6 +141,22 @@
         await self.system.wait_until_ready(http)
         await self._wait_for_groups(http)
 
+    async def start_host(self, data_centre: str) -> None:
+        """Start the process of a data centre's endpoints."""
+        path = self.folder / f'{data_centre}.json'
+        plan = self._plan_by_data_centre[data_centre]
+        path.write_bytes(msgspec.json.encode(plan))
+        self._hosts[data_centre] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'apricotthread.fakes.endpointhost',
+            str(path),
+        )
+
+    def kill_host(self, data_centre: str) -> None:
+        """Kill a data centre's endpoints as a loss of power would."""
+        self._hosts[data_centre].kill()
+
     def _rows(self) -> list[tables.AnyRow]:
         return [
             tables.ServiceRow(
@@ -178,10 +191,10 @@
         """Stop everything and remove the folder."""
         for node_id in list(self.system.process_by_id):
             await self.system.kill_node(node_id)
-        if self._host is not None:
+        for host in self._hosts.values():
             with contextlib.suppress(ProcessLookupError):
-                self._host.terminate()
-            await self._host.wait()
+                host.terminate()
+            await host.wait()
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
--- /dev/null
+++ b/bench/slowreaders.py
@@ -0,0 +1,237 @@
+"""Memory held for slow readers, beside an entry without bounds.
+
+Phones read 1 KB a second while others read as fast as they can.
+"""
+
+import asyncio
+import json
+import socket
+import sys
+import time
+
+import aiohttp
+import matplotlib
+
+from apricotthread.fakes import answers
+from apricotthread.fakes import engines
+from apricotthread.fakes import localsystem
+from bench import rig
+
+matplotlib.use('Agg')
+
+from matplotlib import pyplot  # noqa: E402, H306
+
+PHONES = 1000
+PHONE_BYTES_PER_S = 1024
+PHONE_TOKENS = 4000
+FAST_READERS = 100
+FAST_TOKENS = 200
+FAST_S = 30.0
+SAMPLE_S = 0.5
+NODE_LIMIT_MB = 4
+RECEIVE_BUFFER_BYTES = 4096
+TRAITS = engines.EngineTraits(
+    max_requests=2000,
+    bear_requests=2000,
+    cold_requests=0,
+    token_s=0.005,
+    tokens_per_piece=16,
+)
+
+
+class Readers:
+    """Phones and fast readers of one entry."""
+
+    def __init__(self, *, url: str, http: aiohttp.ClientSession) -> None:
+        self._url = url
+        self._http = http
+        self.fast_seconds: list[float] = []
+        self.whole = 0
+        self.wrong = 0
+
+    async def run_phone(self, number: int) -> None:
+        """Read one long answer, 1 KB a second."""
+        host, port = self._url.removeprefix('http://').split(':')
+        opened = socket.socket()
+        opened.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        opened.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(opened, (host, int(port)))
+        prompt = f'phone {number}'
+        body = json.dumps(
+            {
+                'model': 'describe',
+                'prompt': prompt,
+                'max_tokens': PHONE_TOKENS,
+                'stream': True,
+            }
+        )
+        head = (
+            f'POST /v1/completions HTTP/1.1\r\nHost: x\r\n'
+            f'Authorization: Bearer {rig.KEY}\r\n'
+            f'Content-Type: application/json\r\n'
+            f'Content-Length: {len(body)}\r\nConnection: close\r\n\r\n'
+        )
+        await loop.sock_sendall(opened, (head + body).encode())
+        received = bytearray()
+        while data := await loop.sock_recv(opened, PHONE_BYTES_PER_S):
+            received += data
+            await asyncio.sleep(len(data) / PHONE_BYTES_PER_S)
+        opened.close()
+        text = read_text(bytes(received))
+        expected = answers.whole_answer(prompt, PHONE_TOKENS)
+        self.whole += text == expected
+        self.wrong += text != expected
+
+    async def run_fast(self, number: int, until: float) -> None:
+        """Read short answers one after the other."""
+        while time.perf_counter() < until:
+            started = time.perf_counter()
+            body = {
+                'model': 'describe',
+                'prompt': f'fast {number}',
+                'max_tokens': FAST_TOKENS,
+                'stream': True,
+            }
+            async with self._http.post(
+                f'{self._url}/v1/completions', json=body, headers=rig.HEADERS
+            ) as response:
+                await response.read()
+            self.fast_seconds.append(time.perf_counter() - started)
+
+
+def read_text(received: bytes) -> str:
+    """Return the text of the events in a chunked HTTP answer."""
+    _, _, rest = received.partition(b'\r\n\r\n')
+    body = bytearray()
+    while rest:
+        size, _, rest = rest.partition(b'\r\n')
+        length = int(size, 16)
+        body += rest[:length]
+        rest = rest[length + 2 :]
+    text = []
+    for line in body.decode().splitlines():
+        if line.startswith('data: {'):
+            event = json.loads(line[6:])
+            if 'choices' not in event:
+                return f'error {event}'
+            text.append(event['choices'][0]['text'])
+    return ''.join(text)
+
+
+def kernel_bytes(port: int) -> int:
+    """Return what the kernel holds to be sent from a port."""
+    total = 0
+    with open('/proc/net/tcp', encoding='ascii') as file:
+        next(file)
+        for line in file:
+            fields = line.split()
+            if int(fields[1].split(':')[1], 16) == port:
+                total += int(fields[4].split(':')[0], 16)
+    return total
+
+
+async def sample_memory(pid: int, port: int, samples: list[float]) -> None:
+    """Sample what a process and its sockets hold until cancelled, in MB."""
+    while True:
+        held = rig.resident_bytes(pid) + kernel_bytes(port)
+        samples.append(held / 2**20)
+        await asyncio.sleep(SAMPLE_S)
+
+
+async def measure(
+    name: str, url: str, pid: int, http: aiohttp.ClientSession
+) -> tuple[dict, list[float]]:
+    """Measure one entry, first without the phones and then with them."""
+    alone = Readers(url=url, http=http)
+    until = time.perf_counter() + FAST_S / 2
+    await asyncio.gather(
+        *(alone.run_fast(n, until) for n in range(FAST_READERS))
+    )
+    before = rig.resident_bytes(pid) / 2**20
+    both = Readers(url=url, http=http)
+    samples: list[float] = []
+    port = int(url.rpartition(':')[2])
+    sampling = asyncio.create_task(sample_memory(pid, port, samples))
+    phones = [
+        asyncio.create_task(both.run_phone(number)) for number in range(PHONES)
+    ]
+    until = time.perf_counter() + FAST_S
+    await asyncio.gather(
+        *(both.run_fast(n, until) for n in range(FAST_READERS))
+    )
+    await asyncio.gather(*phones)
+    sampling.cancel()
+    alone_p99 = rig.quantile(alone.fast_seconds, 0.99)
+    both_p99 = rig.quantile(both.fast_seconds, 0.99)
+    row = {
+        'entry': name,
+        'phones_whole': both.whole,
+        'phones_wrong': both.wrong,
+        'mb_before': round(before),
+        'mb_peak': round(max(samples)),
+        'kb_per_phone': round((max(samples) - before) * 1024 / PHONES, 1),
+        'fast_p99_alone_s': round(alone_p99, 3),
+        'fast_p99_with_phones_s': round(both_p99, 3),
+        'p99_ratio': round(both_p99 / alone_p99, 2),
+    }
+    return row, samples
+
+
+async def main() -> None:
+    """Measure the entry and the naive one in one run."""
+    limits = {'node_buffer_bytes': f'{NODE_LIMIT_MB}M'}
+    async with rig.run_site(traits=TRAITS, limits=limits) as (site, http):
+        node = site.nodes[0]
+        row, samples = await measure(
+            'apricotthread', node.caller_url, site.pid(node.node_id), http
+        )
+        metrics_url = f'{node.operator_url}/metrics'
+        async with http.get(metrics_url) as response:
+            for line in (await response.text()).splitlines():
+                if 'answer' in line or 'tokens_resumed' in line:
+                    print('  ' + line)
+        seen = await site.system.try_status(http, node.node_id)
+        (port,) = localsystem.find_free_ports(1)
+        group = seen.groups[0].group
+        naive = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'bench.naive_entry',
+            str(port),
+            group.head.url,
+            group.group_id,
+        )
+        url = f'http://{localsystem.HOST}:{port}'
+        try:
+            await localsystem.wait_for_status(http, url + '/', 404)
+            naive_row, naive_samples = await measure(
+                'naive', url, naive.pid, http
+            )
+        finally:
+            naive.kill()
+            await naive.wait()
+    rows = [row, naive_row]
+    path = rig.write_rows('slow_readers', rows)
+    draw(samples, naive_samples, path.with_suffix('.png'))
+
+
+def draw(samples: list[float], naive: list[float], path) -> None:
+    """Plot the memory of both entries over time."""
+    figure, axes = pyplot.subplots(figsize=(7, 3.5))
+    for values, label in ((samples, 'apricotthread'), (naive, 'naive')):
+        moments = [index * SAMPLE_S for index in range(len(values))]
+        axes.plot(moments, values, label=label)
+    axes.set_xlabel('seconds')
+    axes.set_ylabel('process and sockets, MB')
+    axes.set_title(f'{PHONES} phones at 1 KB/s, {FAST_READERS} fast readers')
+    axes.set_ylim(bottom=0)
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(path, dpi=100)
+
+
+if __name__ == '__main__':
+    asyncio.run(main())
--- a/packages/callers/src/apricotthread/callers/application.py
+++ b/packages/callers/src/apricotthread/callers/application.py
@@ -173,6 +173,7 @@
             if body.stream:
                 request.scope['answer_begun'] = True
                 stream = streams.EventStream(
+                    timer=self._env.timer,
                     request_id=request_id,
                     service=service.name,
                     chat=chat,
--- a/packages/callers/src/apricotthread/callers/streams.py
+++ b/packages/callers/src/apricotthread/callers/streams.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from apricotthread.base import errors
+from apricotthread.base import timers
 from apricotthread.callers import bodies
 from apricotthread.routing import buffers
 
@@ -14,6 +15,7 @@
     (b'content-type', b'text/event-stream; charset=utf-8'),
     (b'cache-control', b'no-store'),
 )
+COALESCE_S = 0.02  # a third of the 61 ms that tokens may be apart
 DONE_EVENT = b'data: [DONE]\n\n'
 
 
@@ -27,11 +29,13 @@
     def __init__(
         self,
         *,
+        timer: timers.TimerService,
         request_id: str,
         service: str,
         chat: bool,
         buffer: buffers.AnswerBuffer,
     ) -> None:
+        self._timer = timer
         self._request_id = request_id
         self._service = service
         self._chat = chat
@@ -69,11 +73,16 @@
             }
         )
         decoder = codecs.getincrementaldecoder('utf-8')('replace')
+        sent_at = float('-inf')
         try:
             while True:
+                early_s = sent_at + COALESCE_S - self._timer.now()
+                if early_s > 0:
+                    await self._timer.sleep(early_s)
                 piece = await self._buffer.take()
                 if piece is None:
                     break
+                sent_at = self._timer.now()
                 self.sent_tokens += piece.tokens
                 text = decoder.decode(piece.data)
                 await _send_body(send, self._make_event(piece, text))
--- a/packages/daemon/src/apricotthread/daemon/node.py
+++ b/packages/daemon/src/apricotthread/daemon/node.py
@@ -68,7 +68,7 @@
         )
         self._incarnation = incarnation
         network = network or connections.TcpNetwork(
-            max_frame_bytes=settings.max_frame_bytes
+            max_frame_bytes=settings.max_frame_bytes, recorded=env.metrics
         )
         folder = folder or folders.open_folder(
             settings.data_folder, timer=env.timer
--- /dev/null
+++ b/packages/fakes/src/apricotthread/fakes/modelworld.py
@@ -0,0 +1,265 @@
+"""VMs, the ledger and orders as a plain model, to drive the planner."""
+
+import dataclasses
+
+from apricotthread.control import commands
+from apricotthread.control import state as states
+from apricotthread.control import tables
+from apricotthread.groups import planner
+from apricotthread.nodes import messages
+
+DOMAIN_SIZE = 5
+DOMAINS = ('d1', 'd2')
+
+
+@dataclasses.dataclass(kw_only=True)
+class ModelVm:
+    """A VM as it really is; it checks fencing numbers."""
+
+    name: str
+    domain: str
+    incarnation: int = 1
+    alive: bool = True
+    leaving: bool = False
+    group_id: str = ''
+    fencing: int = 0
+    load_steps: int = 0
+    load_left: int = 0
+
+    def obey(self, fencing: int, group_id: str) -> None:
+        """Carry out an order to join a group, or to leave for none.
+
+        A member that stays in its group keeps the model that it has.
+        """
+        if not self.alive or fencing < self.fencing:
+            return
+        if group_id != self.group_id:
+            self.load_left = self.load_steps
+        self.fencing = fencing
+        self.group_id = group_id
+
+    @property
+    def member_state(self) -> str:
+        """What the VM announces of itself."""
+        if not self.group_id:
+            return 'idle'
+        return 'loading' if self.load_left else 'ready'
+
+    def tick(self) -> None:
+        """Load for one step."""
+        self.load_left = max(0, self.load_left - 1)
+
+    def restart(self) -> None:
+        """Come back empty."""
+        self.alive = True
+        self.leaving = False
+        self.incarnation += 1
+        self.group_id = ''
+        self.fencing = 0
+
+    def report(self) -> messages.VmReport:
+        """Return what the VM announces."""
+        return messages.VmReport(
+            endpoint_id=self.name,
+            incarnation=self.incarnation,
+            fabric_domain=self.domain,
+            url=f'http://{self.name}',
+            accelerators=4,
+            checks_fencing=True,
+            member_state=self.member_state,
+            group_id=self.group_id,
+            fencing=self.fencing,
+            leaving=self.leaving,
+            cold=False,
+            age_ms=0,
+        )
+
+
+class World:
+    """VMs, the ledger, and orders on their way."""
+
+    def __init__(
+        self,
+        *,
+        group_vms: int = 2,
+        domains: tuple[str, ...] = DOMAINS,
+        domain_size: int = DOMAIN_SIZE,
+        load_steps: int = 0,
+    ) -> None:
+        self.state = states.AgreedState()
+        self.set_services(group_vms=group_vms)
+        self.vms = {
+            f'{domain}-{n}': ModelVm(
+                name=f'{domain}-{n}', domain=domain, load_steps=load_steps
+            )
+            for domain in domains
+            for n in range(domain_size)
+        }
+        self.make_plan = planner.make_plan
+        self.orders = []
+        self.index = 0
+
+    def set_services(
+        self,
+        *,
+        group_vms: int = 2,
+        weights: tuple[float, float] = (1.0, 1.0),
+        version: str = '1',
+    ) -> None:
+        """Set the table's services."""
+        self.state.content.table = tables.make_table(
+            [
+                tables.ServiceRow(
+                    name=name,
+                    type='model',
+                    group_vms=group_vms,
+                    weight=weight,
+                    version=version,
+                )
+                for name, weight in zip('xy', weights, strict=True)
+            ]
+        )
+
+    def apply(self, command: commands.AnyCommand) -> commands.Result:
+        """Apply a ledger change."""
+        self.index += 1
+        result, _ = self.state.apply(command, index=self.index)
+        return result
+
+    def groups(self) -> tuple[states.Group, ...]:
+        """Return the ledger's groups."""
+        return tuple(self.state.content.group_by_id.values())
+
+    def make_input(self) -> planner.PlanInput:
+        """Return what the leader sees; it hears only of living VMs."""
+        return planner.PlanInput(
+            table=self.state.content.table,
+            groups=self.groups(),
+            last_fencing=self.state.content.last_fencing,
+            vm_by_id={
+                name: planner.Vm(
+                    report=vm.report(), data_centre='dc', fresh=vm.alive
+                )
+                for name, vm in self.vms.items()
+            },
+            drained_group_ids=frozenset(
+                g.group_id for g in self.groups() if g.state == 'draining'
+            ),
+        )
+
+    def step(self, *, deliver: bool = True) -> None:
+        """Plan once and carry the plan out; orders may stay under way."""
+        for action in self.make_plan(self.make_input()):
+            self.carry_out(action)
+            self.check()
+        if deliver:
+            self.deliver_all()
+
+    def carry_out(self, action: planner.Action) -> None:
+        """Do what the manager does for an action."""
+        match action:
+            case planner.Assemble():
+                self.apply(
+                    commands.AssembleGroup(
+                        group_id=f'g{self.index}',
+                        service=action.service.name,
+                        model='',
+                        version=action.service.version,
+                        data_centre=action.domain.data_centre,
+                        fabric_domain=action.domain.name,
+                        members=list(action.members),
+                    )
+                )
+            case planner.Repair(group=group, members=members):
+                self.apply(
+                    commands.RepairGroup(
+                        group_id=group.group_id,
+                        fencing=group.fencing,
+                        members=list(members),
+                    )
+                )
+            case planner.Drain(group=group):
+                self.set_state(group, 'draining')
+            case planner.Dissolve(group=group):
+                self.apply(
+                    commands.DissolveGroup(
+                        group_id=group.group_id, fencing=group.fencing
+                    )
+                )
+            case planner.Release(group=group, endpoint_id=name):
+                self.apply(
+                    commands.ReleaseVm(
+                        group_id=group.group_id, endpoint_id=name
+                    )
+                )
+            case planner.OrderRelease(endpoint_id=name, fencing=fencing):
+                self.orders.append((name, fencing, ''))
+            case planner.Advance(group=group):
+                self.advance(group)
+
+    def set_state(self, group: states.Group, name: str) -> None:
+        """Move a group on in the ledger."""
+        self.apply(
+            commands.SetGroupState(
+                group_id=group.group_id, fencing=group.fencing, state=name
+            )
+        )
+
+    def advance(self, group: states.Group) -> None:
+        """Serve when every member confirmed, else order them to join."""
+        if all(self.is_ready(group, m) for m in group.members):
+            self.set_state(group, 'serving')
+            return
+        for member in group.members:
+            vm = self.vms[member.endpoint_id]
+            if (vm.group_id, vm.fencing) == (group.group_id, group.fencing):
+                continue
+            self.orders.append(
+                (member.endpoint_id, group.fencing, group.group_id)
+            )
+
+    def is_ready(
+        self, group: states.Group, member: commands.GroupMember
+    ) -> bool:
+        """Whether a member is ready under the group's number."""
+        vm = self.vms[member.endpoint_id]
+        return (
+            vm.alive
+            and vm.member_state == 'ready'
+            and (vm.group_id, vm.fencing, vm.incarnation)
+            == (group.group_id, group.fencing, member.incarnation)
+        )
+
+    def deliver_all(self) -> None:
+        """Have every order arrive."""
+        for name, fencing, group_id in self.orders:
+            self.vms[name].obey(fencing, group_id)
+        self.orders.clear()
+
+    def serving(self) -> list[states.Group]:
+        """Return the groups that may take requests."""
+        return [
+            g
+            for g in self.groups()
+            if g.state == 'serving'
+            and all(self.is_ready(g, m) for m in g.members)
+        ]
+
+    def check(self) -> None:
+        """No VM is held twice, and a serving group is of one domain."""
+        held = [
+            member.endpoint_id
+            for group in self.groups()
+            for member in (*group.members, *group.departed)
+        ]
+        assert len(held) == len(set(held))
+        in_use = [m.endpoint_id for g in self.serving() for m in g.members]
+        assert len(in_use) == len(set(in_use))
+        for group in self.groups():
+            domains = {self.vms[m.endpoint_id].domain for m in group.members}
+            assert len(domains) <= 1
+
+    def settle(self, rounds: int = 12) -> None:
+        """Plan until nothing changes any more."""
+        for _ in range(rounds):
+            self.step()
--- a/packages/nodes/src/apricotthread/nodes/connections.py
+++ b/packages/nodes/src/apricotthread/nodes/connections.py
@@ -6,6 +6,7 @@
 import typing
 
 from apricotthread.base import errors
+from apricotthread.base import metrics
 from apricotthread.base import settings
 from apricotthread.nodes import framing
 
@@ -52,14 +53,19 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         max_frame_bytes: int,
+        recorded: metrics.Metrics,
     ) -> None:
+        self._recorded = recorded
         self._reader = reader
         self._writer = writer
         self._max_frame_bytes = max_frame_bytes
 
     async def send(self, frame: framing.Frame) -> None:
         """Send a frame, waiting while the peer reads too slowly."""
-        self._writer.write(framing.encode_frame(frame))
+        encoded = framing.encode_frame(frame)
+        self._recorded.count('peer_frames_sent')
+        self._recorded.count('peer_bytes_sent', len(encoded))
+        self._writer.write(encoded)
         await self._writer.drain()
 
     async def receive(self) -> framing.Frame:
@@ -86,8 +92,11 @@
 class TcpNetwork:
     """The network of a real process."""
 
-    def __init__(self, *, max_frame_bytes: int) -> None:
+    def __init__(
+        self, *, max_frame_bytes: int, recorded: metrics.Metrics
+    ) -> None:
         self._max_frame_bytes = max_frame_bytes
+        self._recorded = recorded
 
     async def dial(self, address: settings.NodeAddress) -> Connection:
         """Open a connection to a peer."""
@@ -119,4 +128,5 @@
             reader=reader,
             writer=writer,
             max_frame_bytes=self._max_frame_bytes,
+            recorded=self._recorded,
         )
--- a/packages/operators/src/apricotthread/operators/application.py
+++ b/packages/operators/src/apricotthread/operators/application.py
@@ -203,9 +203,18 @@
         changes: list[tables.RowChange],
     ) -> responses.Response:
         """Have a command agreed, and tell where it is in force."""
-        result = await self._agreed.propose(
-            command, timeout_s=PROPOSE_TIMEOUT_S
-        )
+        try:
+            result = await self._agreed.propose(
+                command, timeout_s=PROPOSE_TIMEOUT_S
+            )
+        except errors.ApricotError as error:
+            logs.log_fault(
+                'operator_command_failed',
+                error,
+                command_id=command.origin.command_id,
+                operator=command.origin.operator,
+            )
+            raise
         logs.log_event(
             'operator_command',
             command_id=command.origin.command_id,
--- a/packages/routing/src/apricotthread/routing/credits.py
+++ b/packages/routing/src/apricotthread/routing/credits.py
@@ -92,10 +92,9 @@
 
         Holders renew them within a lease; until then nothing is free.
         """
-        now = self._env.timer.now()
         if self._started_at is None:
-            self._started_at = now
-        return now - self._started_at >= self._lease_s
+            return False
+        return self._env.timer.now() - self._started_at >= self._lease_s
 
     def owned(self, account: str) -> int:
         """Return the own part, less what is lent."""
@@ -189,6 +188,7 @@
 
     async def run(self) -> None:
         """Renew the credits that are needed and return the others."""
+        self._started_at = self._env.timer.now()
         async for _ in self._env.timer.subscribe(period_s=self._lease_s / 3):
             for account in list(self._borrowed):
                 await self._settle(account)
--- a/packages/routing/src/apricotthread/routing/router.py
+++ b/packages/routing/src/apricotthread/routing/router.py
@@ -91,17 +91,32 @@
                 retry_after_s=1.0,
             )
 
-    @contextlib.asynccontextmanager
-    async def _admit(self, call: calls.AnyCall):
-        """Hold a credit of the account around the request."""
-        self.check_open()
-        await self._limits.acquire(call.account)
+    @contextlib.contextmanager
+    def _count_open(self) -> collections.abc.Iterator[None]:
+        """Count a request as open around the block."""
         self.open_requests += 1
         try:
             yield
         finally:
             self.open_requests -= 1
+
+    async def _acquire(self, call: calls.AnyCall) -> scheduler.Slot:
+        """Take a credit of the account and a place.
+
+        Both are held while an endpoint works on the request, not while
+        its caller reads what is left. Raises ApricotError with ran NO.
+        """
+        await self._limits.acquire(call.account)
+        try:
+            return await self._schedule.acquire(call)
+        except BaseException:
             self._limits.release(call.account)
+            raise
+
+    def _release(self, call: calls.AnyCall, slot: scheduler.Slot) -> None:
+        """Give the place and the credit back."""
+        self._schedule.release(slot)
+        self._limits.release(call.account)
 
     # Model services
 
@@ -114,8 +129,9 @@
         Returns once the answer has begun. Raises ApricotError when the
         request is refused or fails before that.
         """
-        async with self._admit(call):
-            slot = await self._schedule.acquire(call)
+        self.check_open()
+        with self._count_open():
+            slot = await self._acquire(call)
             buffer = buffers.AnswerBuffer(
                 env=self._env,
                 budget=self._budget,
@@ -159,9 +175,10 @@
             failure = None
             finished = False
             try:
-                async with self._dispatch.open_model(
-                    slot, call, offset
-                ) as pieces:
+                async with (
+                    self._env.timer.timeout(self._request_timeout_s),
+                    self._dispatch.open_model(slot, call, offset) as pieces,
+                ):
                     async for piece in pieces:
                         if not reassembly.accept_piece(offset, piece):
                             continue
@@ -173,8 +190,10 @@
             except errors.ApricotError as error:
                 failure = error
                 self._note_refusal(slot, error)
+            except TimeoutError:
+                self._env.metrics.count('answers_renewed')
             finally:
-                self._schedule.release(slot)
+                self._release(call, slot)
             if finished:
                 return
             if failure is not None:
@@ -250,7 +269,7 @@
         resumed = dataclasses.replace(call, offset=offset, deadline=until)
         while True:
             try:
-                return await self._schedule.acquire(resumed)
+                return await self._acquire(resumed)
             except errors.ApricotError:
                 delay_s = self._retry_budget.backoff_s(MAX_TRIES)
                 if self._env.timer.now() + delay_s >= until:
@@ -267,7 +286,8 @@
 
         Raises ApricotError when it is refused or fails.
         """
-        async with self._admit(call):
+        self.check_open()
+        with self._count_open():
             if call.repeatable or not call.idempotency_key:
                 async with self._open_with_retries(call) as answer:
                     yield answer
@@ -292,9 +312,9 @@
         self._retry_budget.earn(call.service)
         tries = 0
         while True:
-            slot = await self._schedule.acquire(call)
+            slot = await self._acquire(call)
             async with contextlib.AsyncExitStack() as stack:
-                stack.callback(self._schedule.release, slot)
+                stack.callback(self._release, call, slot)
                 try:
                     answer = await stack.enter_async_context(
                         self._dispatch.open_plain(slot, call)
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -94,7 +94,9 @@
             peer_port=port,
             roles=frozenset(settings.Role),
         )
-        network = connections.TcpNetwork(max_frame_bytes=1000)
+        network = connections.TcpNetwork(
+            max_frame_bytes=1000, recorded=env.metrics
+        )
         accepting = server.PeerServer(
             env=env,
             network=network,
