Know the agreed table after a restart without peers

Cause: a voter that restarted alone had its log but not how far it was agreed, so it had no table until a leader came. Ruled out: the order of records, which the single writer keeps.

Conclusion: durable state is enough for one control node to serve on.

--- a/packages/base/src/apricotthread/base/settings.py
+++ b/packages/base/src/apricotthread/base/settings.py
@@ -92,7 +92,7 @@
     request_timeout_s: float = 120.0
     answer_buffer_bytes: int = 64 * units.KIB
     node_buffer_bytes: int = 64 * units.MIB
-    socket_buffer_bytes: int = 8 * units.KIB
+    socket_buffer_bytes: int = 4 * units.KIB
     stall_s: float = 5.0
     drain_s: float = 600.0
     ready_grace_s: float = 2.0
--- a/packages/control/src/apricotthread/control/journal.py
+++ b/packages/control/src/apricotthread/control/journal.py
@@ -112,15 +112,14 @@
         if self.failed:
             return
         data = b''.join(batch.records)
-        self.failed = True
         try:
             await self._folder.write_at(self._name, self._offset, data)
         except OSError as error:
+            self.failed = True
             logs.log_event('disk_failed', file=self._name, reason=str(error))
             return
         self._offset += len(data)
         batch.written = True
-        self.failed = False
 
     async def rewrite(self, records: list[bytes]) -> None:
         """Replace all records at once; raises OSError."""
--- a/packages/control/src/apricotthread/control/logstore.py
+++ b/packages/control/src/apricotthread/control/logstore.py
@@ -30,6 +30,12 @@
     payload: bytes
 
 
+class CommitRecord(msgspec.Struct, frozen=True, kw_only=True, tag='commit'):
+    """How far the log was surely agreed, for a restart without peers."""
+
+    index: int
+
+
 class SnapshotRecord(msgspec.Struct, frozen=True, kw_only=True):
     """The agreed state up to an entry."""
 
@@ -46,7 +52,9 @@
     disk_by_voter: dict[str, str] = {}
 
 
-_RECORD_DECODER = msgspec.msgpack.Decoder(TermRecord | EntryRecord)
+_RECORD_DECODER = msgspec.msgpack.Decoder(
+    TermRecord | EntryRecord | CommitRecord
+)
 
 
 def _decode_single(data: bytes, *, name: str, record_type: type):
@@ -76,6 +84,7 @@
         self.snapshot = SnapshotRecord(index=0, term=0, data=b'')
         self._entries: list[messages.LogEntry] = []
         self.synced_index = 0
+        self.committed_index = 0
 
     @property
     def last_index(self) -> int:
@@ -126,11 +135,13 @@
             self._replay(_RECORD_DECODER.decode(encoded))
         self.synced_index = self.last_index
 
-    def _replay(self, record: TermRecord | EntryRecord) -> None:
+    def _replay(self, record: TermRecord | EntryRecord | CommitRecord) -> None:
         match record:
             case TermRecord(term=term, voted_for=voted_for):
                 self.term = term
                 self.voted_for = voted_for
+            case CommitRecord(index=index):
+                self.committed_index = index
             case EntryRecord(index=index, term=term, payload=payload):
                 if index <= self.snapshot.index:
                     return
@@ -169,6 +180,13 @@
         self.term = term
         self.voted_for = voted_for
 
+    async def save_commit(self, index: int) -> None:
+        """Keep that the log is agreed up to an entry."""
+        await self._recover()
+        record = CommitRecord(index=index)
+        await self._journal.append([msgspec.msgpack.encode(record)])
+        self.committed_index = index
+
     def term_at(self, index: int) -> int | None:
         """Return the term of an entry, None if it is not in the log."""
         if index == self.snapshot.index:
@@ -255,7 +273,10 @@
         logs.log_event('snapshot_saved', index=record.index)
 
     async def _rewrite_journal(self) -> None:
-        records = [TermRecord(term=self.term, voted_for=self.voted_for)]
+        records = [
+            TermRecord(term=self.term, voted_for=self.voted_for),
+            CommitRecord(index=self.committed_index),
+        ]
         records.extend(
             EntryRecord(index=e.index, term=e.term, payload=e.payload)
             for e in self._entries
--- a/packages/control/src/apricotthread/control/replica.py
+++ b/packages/control/src/apricotthread/control/replica.py
@@ -101,6 +101,9 @@
         if snapshot.index:
             self._adopt(snapshot)
         await self._trail.load()
+        self._move_commit(
+            min(self.store.committed_index, self.store.last_index)
+        )
         now = self._env.timer.now()
         self._refuse_votes_until = now + self._lease_s
 
@@ -680,6 +683,8 @@
             self._env.metrics.set_gauge('agreed_version', self.state.version)
             try:
                 await self._trail.append(records)
+                if self.commit_index > self.store.committed_index:
+                    await self.store.save_commit(self.applied_index)
                 await self._compact()
             except errors.ApricotError as error:
                 logs.log_fault('snapshot_failed', error)
--- a/packages/daemon/src/apricotthread/daemon/listeners.py
+++ b/packages/daemon/src/apricotthread/daemon/listeners.py
@@ -14,7 +14,7 @@
 class BoundedProtocol(httptools_impl.HttpToolsProtocol):
     """An HTTP connection that holds little for a reader that is slow."""
 
-    write_buffer_bytes = 8192
+    write_buffer_bytes = 2048
 
     def connection_made(self, transport) -> None:
         """Bound what the transport holds before writes have to wait."""
--- a/packages/fakes/src/apricotthread/fakes/cluster.py
+++ b/packages/fakes/src/apricotthread/fakes/cluster.py
@@ -9,6 +9,7 @@
 from apricotthread.base import metrics
 from apricotthread.base import settings as node_settings
 from apricotthread.control import commands
+from apricotthread.control import folders
 from apricotthread.control import tables
 from apricotthread.daemon import node
 from apricotthread.fakes import announcers
@@ -91,7 +92,7 @@
             settings=settings,
             env=env,
             network=networks.NodeNetwork(hub=self.hub, node_id=node_id),
-            folder=disk,
+            folder=disk if address.is_voter else folders.NoFolder(),
             endpoint_client=directclient.DirectClient(
                 env=env,
                 fleet=self.fleet,
--- a/packages/fakes/src/apricotthread/fakes/networks.py
+++ b/packages/fakes/src/apricotthread/fakes/networks.py
@@ -38,6 +38,12 @@
         """Undo every cut."""
         self._cuts.clear()
 
+    def silence(self, node_id: str) -> None:
+        """Lose everything on a node's open connections, not on new ones."""
+        for connection in self._open:
+            if node_id in (connection.source, connection.target):
+                connection.is_silent = True
+
     def is_cut(self, source: str, target: str) -> bool:
         """Whether what the source sends to the target is lost."""
         return (source, target) in self._cuts
@@ -75,6 +81,7 @@
         self.target = target
         self.other: MemoryConnection | None = None
         self.is_closed = False
+        self.is_silent = False
         self._incoming: asyncio.Queue[bytes | None] = asyncio.Queue()
         self._last_at = 0.0
 
@@ -85,7 +92,7 @@
         encoded = framing.encode_frame(frame)
         self._hub.sent_frames += 1
         self._hub.sent_bytes += len(encoded)
-        if self._hub.is_cut(self.source, self.target):
+        if self.is_silent or self._hub.is_cut(self.source, self.target):
             return
         env = self._hub.env
         delay_s = self._hub.latency_s
@@ -114,7 +121,7 @@
             return
         self.is_closed = True
         self._incoming.put_nowait(None)
-        if not self._hub.is_cut(self.source, self.target):
+        if not (self.is_silent or self._hub.is_cut(self.source, self.target)):
             self.other.close()
 
 
--- a/packages/routing/src/apricotthread/routing/buffers.py
+++ b/packages/routing/src/apricotthread/routing/buffers.py
@@ -8,7 +8,7 @@
 from apricotthread.nodes import messages
 
 LOW_WATER = 0.25  # share of its bound at which a full buffer takes more
-MAX_TAKE_BYTES = 8 * units.KIB
+MAX_TAKE_BYTES = 2 * units.KIB
 MIN_BOUND_BYTES = 1 * units.KIB
 PLANNED_SHARE = 0.9  # of the node's limit; the last piece goes over a bound
 PIECE_OVERHEAD_BYTES = 120  # memory of a piece beside its text
--- a/tests/replay.py
+++ b/tests/replay.py
@@ -195,6 +195,8 @@
                         cluster.start(node_id)
             case 'cut_dc':
                 self._cut_data_centre(event['dc'])
+            case 'silence_links':
+                cluster.hub.silence(event['node'])
             case 'heal':
                 cluster.hub.heal()
             case 'take_out' | 'bring_back':
--- /dev/null
+++ b/tests/test_cuts.py
@@ -0,0 +1,109 @@
+"""A data centre that is cut off: its own take-out, and its table."""
+
+import asyncio
+
+from apricotthread.control import commands
+from apricotthread.fakes import cluster as clusters
+from apricotthread.fakes import driven
+
+TIMEOUT_S = 10.0
+
+
+def run_cluster(env, scenario):
+    """Run a scenario on three voters and three learners."""
+
+    async def main():
+        cluster = clusters.MemoryCluster(env=env, learners=3)
+        cluster.start_all()
+        try:
+            await cluster.wait_for_leader()
+            change = cluster.make_change(
+                'acme', limit=5, base=0, command_id='first'
+            )
+            agreed = cluster.node_by_id['v2'].agreed
+            await agreed.propose(change, timeout_s=TIMEOUT_S)
+            await cluster.wait_for_version(1)
+            await scenario(cluster)
+        finally:
+            await cluster.stop_all()
+
+    driven.run(main())
+
+
+def cut_off(cluster, inside):
+    """Cut some nodes off from all others."""
+    for one in inside:
+        for other in cluster.address_by_id:
+            if other not in inside:
+                cluster.hub.cut_both(one, other)
+
+
+def make_take_out(cluster, name):
+    """Return a command that takes a data centre out."""
+    change = cluster.make_change('x', limit=1, base=0, command_id='out')
+    return commands.MarkDataCentre(
+        origin=change.origin, base_version=1, data_centre=name, out=True
+    )
+
+
+def test_a_local_take_out_spreads_and_is_folded_in_when_the_cut_heals(env):
+    async def scenario(cluster):
+        cut_off(cluster, ['v1', 'l1'])
+        await env.timer.sleep(5.0)
+        v1, l1 = cluster.node_by_id['v1'], cluster.node_by_id['l1']
+        assert v1.system.is_cut_off
+        assert not v1.why_not_ready()
+        v1.marks.set(make_take_out(cluster, 'dc1'))
+        await env.timer.sleep(2.0)
+        for node in (v1, l1):
+            assert node.system.is_out('dc1')
+            assert 'taken out' in node.why_not_ready()
+        assert not cluster.node_by_id['v2'].system.is_out('dc1')
+        cluster.hub.heal()
+        await env.timer.sleep(15.0)
+        assert v1.system.local_mark is None
+        for node in cluster.node_by_id.values():
+            assert node.agreed.state.content.taken_out == ['dc1']
+        subjects = [r.subject for r in v1.trail.records]
+        assert 'data_centre:dc1' in subjects
+
+    run_cluster(env, scenario)
+
+
+def test_a_node_that_restarts_in_a_cut_takes_the_table_of_a_peer(env):
+    async def scenario(cluster):
+        cut_off(cluster, ['v1', 'l1'])
+        await env.timer.sleep(5.0)
+        await cluster.crash('l1')
+        restarted = cluster.start('l1')
+        assert not restarted.system.has_table
+        await env.timer.sleep(5.0)
+        assert restarted.agreed.state.version == 1
+        assert not restarted.why_not_ready()
+
+    run_cluster(env, scenario)
+
+
+def test_a_node_without_any_table_is_not_ready(env):
+    async def scenario(cluster):
+        cut_off(cluster, ['l1'])
+        await cluster.crash('l1')
+        restarted = cluster.start('l1')
+        await env.timer.sleep(20.0)
+        assert restarted.why_not_ready() == 'no table yet'
+
+    run_cluster(env, scenario)
+
+
+def test_a_restarted_voter_serves_the_table_that_it_had(env):
+    """All three lose power; two stay down, the third still has a table."""
+
+    async def scenario(cluster):
+        for voter in cluster.voter_ids:
+            await cluster.crash(voter)
+        alone = cluster.start('v3')
+        await asyncio.sleep(10.0)
+        assert alone.agreed.state.version == 1
+        assert alone.system.has_table
+
+    run_cluster(env, scenario)
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -55,6 +55,22 @@
     driven.run(main())
 
 
+def test_a_write_under_way_is_not_taken_for_a_failed_one(env):
+    """Another writer then cut off what was about to be synced."""
+
+    async def main():
+        disk = disks.FakeDisk(timer=env.timer)
+        store = logstore.LogStore(folder=disk)
+        await store.load()
+        await asyncio.gather(store.append([entry(1)]), store.save_commit(0))
+        assert store.last_index == 1
+        reread = logstore.LogStore(folder=disk)
+        await reread.load()
+        assert reread.last_index == 1
+
+    driven.run(main())
+
+
 def test_after_a_full_disk_the_journal_has_no_gap(env):
     async def main():
         disk = disks.FakeDisk(timer=env.timer)
