--- a/packages/control/src/apricotthread/control/replica.py
+++ b/packages/control/src/apricotthread/control/replica.py
@@ -1,11 +1,8 @@
 """One replica of the agreed state: election, replication, application."""
 
 import asyncio
-import collections.abc
-import dataclasses
 import enum
 
-import msgspec
 
 from apricotthread.base import environment
 from apricotthread.base import errors
@@ -15,16 +12,17 @@
 from apricotthread.control import audit
 from apricotthread.control import commands
 from apricotthread.control import logstore
+from apricotthread.control import progress
 from apricotthread.control import state
+from apricotthread.control import statetransfer
+from apricotthread.control import voters
 from apricotthread.nodes import links
 from apricotthread.nodes import messages
 
 MAX_ENTRIES = 256
 MAX_APPEND_BYTES = 256 * units.KIB
-SNAPSHOT_PIECE_BYTES = 256 * units.KIB
 SNAPSHOT_EVERY_ENTRIES = 256
 CLOCK_DRIFT = 0.9  # share of a lease that the leader itself relies on
-PROPOSE_RETRY_S = 0.1
 ADMISSION_RETRY_S = 0.5
 
 
@@ -36,18 +34,6 @@
     LEADER = 'leader'
 
 
-@dataclasses.dataclass(kw_only=True)
-class Progress:
-    """How far a peer's log is known to match, while this node leads."""
-
-    next_index: int
-    match_index: int = 0
-    applied_index: int = 0
-    sent_commit_index: int = 0
-    acknowledged_at: float = float('-inf')
-    disk_id: str = ''
-
-
 class Replica:
     """Keeps the log and the agreed state of one node.
 
@@ -76,6 +62,15 @@
         self._lease_s = lease_s
         self.store = store
         self.state = state.AgreedState()
+        self.voters = voters.Voters(
+            own=own,
+            node_by_id=node_by_id,
+            link_by_id=link_by_id,
+            store=store,
+            lease_s=lease_s,
+            get_content=lambda: self.state.content,
+            get_applied_index=lambda: self.applied_index,
+        )
         self.role = Role.FOLLOWER
         self.leader_id = ''
         self.commit_index = 0
@@ -83,14 +78,14 @@
         self.applied = asyncio.Event()
         self._heard_leader_at = float('-inf')
         self._refuse_votes_until = float('-inf')
-        self._progress_by_id: dict[str, Progress] = {}
+        self._progress = progress.ProgressTable(peer_ids=[], next_index=1)
         self._result_by_index: dict[int, asyncio.Future] = {}
         self._led_since = float('-inf')
         self._commit_moved = asyncio.Event()
         self._log_grew = asyncio.Event()
         self._role_changed = asyncio.Event()
         self._log_lock = asyncio.Lock()
-        self._incoming_snapshot = bytearray()
+        self._snapshot_receiver = statetransfer.SnapshotReceiver()
 
     # Starting
 
@@ -127,115 +122,6 @@
         self.applied.set()
         self.applied = asyncio.Event()
 
-    # Who votes
-
-    def disk_by_voter(self) -> dict[str, str]:
-        """Return the voters and their disks by the newest entry."""
-        disks = dict(self.state.content.disk_by_voter)
-        if not disks:
-            disks = dict(self.store.identity.disk_by_voter)
-        for index in range(self.applied_index + 1, self.store.last_index + 1):
-            payload = self.store.entry_at(index).payload
-            match commands.decode_command(payload):
-                case commands.AdmitVoter(node_id=node_id, disk_id=disk_id):
-                    disks.setdefault(node_id, disk_id)
-                case commands.RemoveVoter(node_id=node_id):
-                    if len(disks) > 1:
-                        disks.pop(node_id, None)
-        return disks
-
-    def is_admitted(self) -> bool:
-        """Whether this node, with the disk it has, may vote."""
-        disk_id = self.store.identity.disk_id
-        return self.disk_by_voter().get(self._own.node_id) == disk_id
-
-    def may_answer_for_claims(self) -> bool:
-        """Whether this voter's registers are those that it ever had.
-
-        A voter on a replaced disk would take a claimed key for a free
-        one, so it does not answer for claims.
-        """
-        return self.is_admitted() and self.store.identity.admitted
-
-    def _has_quorum(self, node_ids: collections.abc.Iterable[str]) -> bool:
-        voters = self.disk_by_voter()
-        return 2 * len(voters.keys() & set(node_ids)) > len(voters)
-
-    async def _seek_admission(self) -> None:
-        """Ask the other voters whether all of them start for the first time.
-
-        Once a voter was admitted with a set of disks, only those disks
-        count; a node that lost its disk waits for an operator.
-        """
-        voter_ids = [
-            n.node_id for n in self._node_by_id.values() if n.is_voter
-        ]
-        others = [name for name in voter_ids if name != self._own.node_id]
-        replies = await asyncio.gather(
-            *(
-                self._link_by_id[name].try_call(
-                    messages.IdentityRequest(), timeout_s=self._lease_s
-                )
-                for name in others
-            )
-        )
-        own_disk = self.store.identity.disk_id
-        disks = {self._own.node_id: own_disk}
-        for name, reply in zip(others, replies, strict=True):
-            match reply:
-                case messages.IdentityReply(admitted=True, voters=voters):
-                    known = {v.node_id: v.disk_id for v in voters}
-                    if known.get(self._own.node_id) == own_disk:
-                        await self._save_admission(known)
-                    return
-                case messages.IdentityReply(disk_id=disk_id):
-                    disks[name] = disk_id
-        if len(disks) == len(voter_ids):
-            await self._save_admission(disks)
-
-    async def _save_admission(self, disks: dict[str, str]) -> None:
-        logs.log_event('voter_admitted', voters=sorted(disks))
-        await self.store.save_identity(
-            logstore.Identity(
-                disk_id=self.store.identity.disk_id,
-                admitted=True,
-                disk_by_voter=disks,
-            )
-        )
-
-    async def on_identity_request(
-        self, peer: messages.Greeting, body: messages.IdentityRequest
-    ) -> messages.Message:
-        """Tell which disk this node has and with whom it was admitted."""
-        known = self.disk_by_voter()
-        return messages.IdentityReply(
-            disk_id=self.store.identity.disk_id,
-            admitted=bool(known),
-            voters=[
-                messages.VoterDisk(node_id=name, disk_id=disk)
-                for name, disk in known.items()
-            ],
-        )
-
-    async def find_disk(self, node_id: str) -> str:
-        """Return the disk that a control node has now.
-
-        Raises ApricotError when it is not a control node in the settings
-        or can not be reached.
-        """
-        node = self._node_by_id.get(node_id)
-        if node is None or not node.is_voter:
-            raise errors.ApricotError(
-                code=errors.ErrorCode.UNKNOWN_ROW,
-                message=f'{node_id!r} is no control node in the settings',
-            )
-        if node_id == self._own.node_id:
-            return self.store.identity.disk_id
-        reply = await self._link_by_id[node_id].call(
-            messages.IdentityRequest(), timeout_s=self._lease_s
-        )
-        return reply.disk_id
-
     # Election
 
     async def _campaign(self) -> None:
@@ -243,9 +129,9 @@
         while True:
             wait_s = self._lease_s * (1 + self._env.random.random())
             await self._env.timer.sleep(wait_s / 4)
-            if not self.is_admitted():
+            if not self.voters.is_admitted():
                 try:
-                    await self._seek_admission()
+                    await self.voters.seek_admission()
                 except errors.ApricotError as error:
                     logs.log_fault('admission_failed', error)
                 await self._env.timer.sleep(ADMISSION_RETRY_S)
@@ -291,7 +177,7 @@
             last_term=self.store.last_term,
             pre_vote=pre_vote,
         )
-        voters = self.disk_by_voter().keys() - {self._own.node_id}
+        voters = self.voters.disk_by_voter().keys() - {self._own.node_id}
         asked = [v for v in sorted(voters) if v in self._link_by_id]
         replies = await asyncio.gather(
             *(
@@ -308,7 +194,7 @@
                     granted.add(voter)
                 case messages.VoteReply(term=newer) if newer > term:
                     await self._see_term(newer)
-        return self._has_quorum(granted)
+        return self.voters.has_quorum(granted)
 
     async def _see_term(self, term: int) -> None:
         """Follow a newer term."""
@@ -332,7 +218,7 @@
             or now < self._refuse_votes_until
             or (self.role is Role.LEADER and self.holds_lease())
         )
-        if has_leader or not self.is_admitted():
+        if has_leader or not self.voters.is_admitted():
             return False
         is_current = (body.last_term, body.last_index) >= (
             self.store.last_term,
@@ -359,10 +245,10 @@
         self.role = Role.LEADER
         self.leader_id = self._own.node_id
         self._led_since = now
-        self._progress_by_id = {
-            name: Progress(next_index=self.store.last_index + 1)
-            for name in self._link_by_id
-        }
+        self._progress = progress.ProgressTable(
+            peer_ids=list(self._link_by_id),
+            next_index=self.store.last_index + 1,
+        )
         logs.log_event('leader_elected', term=self.store.term)
         self._env.metrics.count('leader_elections')
         self._wake(self._role_changed)
@@ -408,13 +294,9 @@
         if self.role is not Role.LEADER:
             return 0.0
         now = self._env.timer.now()
-        times = {self._own.node_id: now}
-        disks = self.disk_by_voter()
-        for name, progress in self._progress_by_id.items():
-            if disks.get(name) == progress.disk_id:
-                times[name] = progress.acknowledged_at
-        newest = sorted(times.get(v, float('-inf')) for v in disks)
-        supported_at = newest[(len(newest) - 1) // 2]
+        supported_at = self._progress.supported_at(
+            self.voters.disk_by_voter(), own_id=self._own.node_id, now=now
+        )
         return supported_at + self._lease_s * CLOCK_DRIFT - now
 
     def holds_lease(self) -> bool:
@@ -454,8 +336,8 @@
             if self.role is not Role.LEADER:
                 await self._role_changed.wait()
                 continue
-            progress = self._progress_by_id[link.peer_id]
-            behind = await self._replicate_once(link, progress)
+            known = self._progress.by_id[link.peer_id]
+            behind = await self._replicate_once(link, known)
             if behind or self.role is not Role.LEADER:
                 continue
             try:
@@ -465,15 +347,21 @@
                 pass
 
     async def _replicate_once(
-        self, link: links.PeerLink, progress: Progress
+        self, link: links.PeerLink, known: progress.Progress
     ) -> bool:
         """Send what a peer lacks; return whether it lacks more."""
         sent_at = self._env.timer.now()
         sent_commit_index = self.commit_index
-        previous_index = progress.next_index - 1
+        previous_index = known.next_index - 1
         previous_term = self.store.term_at(previous_index)
         if previous_term is None:
-            reply = await self._send_snapshot(link)
+            reply = await statetransfer.send_snapshot(
+                link,
+                self.store.snapshot,
+                term=self.store.term,
+                leader=self._own.node_id,
+                timeout_s=self._lease_s,
+            )
         else:
             reply = await link.try_call(
                 messages.AppendRequest(
@@ -482,7 +370,7 @@
                     previous_index=previous_index,
                     previous_term=previous_term,
                     entries=self.store.entries_from(
-                        progress.next_index,
+                        known.next_index,
                         limit=MAX_ENTRIES,
                         limit_bytes=MAX_APPEND_BYTES,
                     ),
@@ -498,67 +386,32 @@
             return False
         if reply.term < self.store.term or self.role is not Role.LEADER:
             return False
-        progress.acknowledged_at = sent_at
-        progress.sent_commit_index = sent_commit_index
-        progress.applied_index = reply.applied_index
-        progress.disk_id = reply.disk_id
+        known.acknowledged_at = sent_at
+        known.sent_commit_index = sent_commit_index
+        known.applied_index = reply.applied_index
+        known.disk_id = reply.disk_id
         if reply.success:
-            progress.match_index = reply.match_index
-            progress.next_index = reply.match_index + 1
+            known.match_index = reply.match_index
+            known.next_index = reply.match_index + 1
             self._advance_commit()
         else:
-            progress.next_index = min(
-                max(1, progress.next_index - 1), reply.match_index + 1
+            known.next_index = min(
+                max(1, known.next_index - 1), reply.match_index + 1
             )
         return (
-            progress.next_index <= self.store.last_index
-            or progress.sent_commit_index < self.commit_index
+            known.next_index <= self.store.last_index
+            or known.sent_commit_index < self.commit_index
         )
 
-    async def _send_snapshot(
-        self, link: links.PeerLink
-    ) -> messages.Message | None:
-        """Send the snapshot in pieces; return the last reply."""
-        snapshot = self.store.snapshot
-        term = self.store.term
-        reply = None
-        for offset in range(0, len(snapshot.data), SNAPSHOT_PIECE_BYTES):
-            end = offset + SNAPSHOT_PIECE_BYTES
-            reply = await link.try_call(
-                messages.SnapshotPiece(
-                    term=term,
-                    leader=self._own.node_id,
-                    last_index=snapshot.index,
-                    last_term=snapshot.term,
-                    offset=offset,
-                    data=snapshot.data[offset:end],
-                    complete=end >= len(snapshot.data),
-                ),
-                timeout_s=self._lease_s,
-            )
-            match reply:
-                case messages.AppendReply(success=True):
-                    continue
-                case _:
-                    return reply
-        return reply
-
     def _advance_commit(self) -> None:
         """Commit what a majority of the voters has synced."""
         if self.role is not Role.LEADER:
             return
-        disks = self.disk_by_voter()
-        matches = []
-        for voter, disk_id in disks.items():
-            progress = self._progress_by_id.get(voter)
-            if voter == self._own.node_id:
-                matches.append(self.store.synced_index)
-            elif progress is not None and progress.disk_id == disk_id:
-                matches.append(progress.match_index)
-            else:
-                matches.append(0)
-        matches.sort()
-        agreed = matches[(len(matches) - 1) // 2]
+        agreed = self._progress.agreed_index(
+            self.voters.disk_by_voter(),
+            own_id=self._own.node_id,
+            own_index=self.store.synced_index,
+        )
         if (
             agreed > self.commit_index
             and self.store.term_at(agreed) == self.store.term
@@ -630,19 +483,11 @@
         async with self._log_lock:
             if not await self._accept_leader(body.term, body.leader):
                 return self._append_reply(False, 0)
-            if body.offset == 0:
-                self._incoming_snapshot = bytearray()
-            if body.offset != len(self._incoming_snapshot):
+            if not self._snapshot_receiver.add(body):
                 return self._append_reply(False, self.store.snapshot.index)
-            self._incoming_snapshot += body.data
             if not body.complete:
                 return self._append_reply(True, self.store.snapshot.index)
-            record = logstore.SnapshotRecord(
-                index=body.last_index,
-                term=body.last_term,
-                data=bytes(self._incoming_snapshot),
-            )
-            self._incoming_snapshot = bytearray()
+            record = self._snapshot_receiver.finish(body)
             if record.index > self.applied_index:
                 await self.store.save_snapshot(record)
                 self._adopt(record)
@@ -706,63 +551,6 @@
 
     # Commands
 
-    async def propose(
-        self, command: commands.AnyCommand, *, timeout_s: float
-    ) -> commands.Result:
-        """Have a command agreed; return its result.
-
-        An operator's command is safe to propose again under its id, so
-        it is, until the time is over. Raises ApricotError with code
-        NO_QUORUM, ran NO when it certainly was not logged.
-        """
-        payload = commands.encode_command(command)
-        deadline = self._env.timer.now() + timeout_s
-        may_have_run = False
-        while True:
-            remaining_s = deadline - self._env.timer.now()
-            if remaining_s <= 0:
-                raise self._make_no_quorum_error(may_have_run)
-            try:
-                async with self._env.timer.timeout(remaining_s):
-                    return await self._propose_once(payload)
-            except TimeoutError:
-                may_have_run = True
-            except errors.ApricotError as error:
-                may_have_run |= error.ran is not errors.Ran.NO
-            await self._env.timer.sleep(
-                min(PROPOSE_RETRY_S, max(0.0, remaining_s))
-            )
-
-    def _make_no_quorum_error(self, may_have_run: bool) -> errors.ApricotError:
-        return errors.ApricotError(
-            code=errors.ErrorCode.NO_QUORUM,
-            message='no majority of the control nodes could be reached in '
-            'time'
-            + (
-                '; the change may still be accepted, send the same command '
-                'id again to learn its result'
-                if may_have_run
-                else ''
-            ),
-            ran=errors.Ran.UNKNOWN if may_have_run else errors.Ran.NO,
-            retry_after_s=self._lease_s,
-        )
-
-    async def _propose_once(self, payload: bytes) -> commands.Result:
-        if self.role is Role.LEADER:
-            return await self.propose_as_leader(payload)
-        link = self._link_by_id.get(self.leader_id)
-        if link is None:
-            raise errors.ApricotError(
-                code=errors.ErrorCode.NOT_LEADER,
-                message='no leader is known',
-            )
-        reply = await link.call(
-            messages.Proposal(payload=payload),
-            timeout_s=self._lease_s * 2,
-        )
-        return commands.decode_result(reply.payload)
-
     async def propose_as_leader(self, payload: bytes) -> commands.Result:
         """Log a command as the leader and return its result."""
         if not self.holds_lease():
@@ -777,20 +565,6 @@
             raise
         return await future
 
-    async def on_proposal(
-        self, peer: messages.Greeting, body: messages.Proposal
-    ) -> messages.Message:
-        """Log a command that another node passed on."""
-        try:
-            commands.decode_command(body.payload)
-        except msgspec.DecodeError as error:
-            raise errors.ApricotError(
-                code=errors.ErrorCode.PROTOCOL,
-                message=f'the command can not be decoded: {error}',
-            ) from error
-        result = await self.propose_as_leader(body.payload)
-        return messages.ProposalReply(payload=commands.encode_result(result))
-
     async def wait_applied(self, version: int) -> None:
         """Return once the agreed state has at least the version."""
         while self.state.version < version:
--- /dev/null
+++ b/packages/control/src/apricotthread/control/voters.py
@@ -0,0 +1,146 @@
+"""Who votes on agreed state: control nodes, known by their disks."""
+
+import asyncio
+import collections.abc
+
+from apricotthread.base import errors
+from apricotthread.base import logs
+from apricotthread.base import settings
+from apricotthread.control import commands
+from apricotthread.control import logstore
+from apricotthread.control import state
+from apricotthread.nodes import links
+from apricotthread.nodes import messages
+
+
+class Voters:
+    """The voters by the newest entry of the log, and their admission."""
+
+    def __init__(
+        self,
+        *,
+        own: settings.NodeAddress,
+        node_by_id: dict[str, settings.NodeAddress],
+        link_by_id: dict[str, links.PeerLink],
+        store: logstore.LogStore,
+        lease_s: float,
+        get_content: collections.abc.Callable[[], state.Content],
+        get_applied_index: collections.abc.Callable[[], int],
+    ) -> None:
+        self._own = own
+        self._node_by_id = node_by_id
+        self._link_by_id = link_by_id
+        self._store = store
+        self._lease_s = lease_s
+        self._get_content = get_content
+        self._get_applied_index = get_applied_index
+
+    def disk_by_voter(self) -> dict[str, str]:
+        """Return the voters and their disks by the newest entry."""
+        disks = dict(self._get_content().disk_by_voter)
+        if not disks:
+            disks = dict(self._store.identity.disk_by_voter)
+        for index in range(
+            self._get_applied_index() + 1, self._store.last_index + 1
+        ):
+            payload = self._store.entry_at(index).payload
+            match commands.decode_command(payload):
+                case commands.AdmitVoter(node_id=node_id, disk_id=disk_id):
+                    disks.setdefault(node_id, disk_id)
+                case commands.RemoveVoter(node_id=node_id):
+                    if len(disks) > 1:
+                        disks.pop(node_id, None)
+        return disks
+
+    def is_admitted(self) -> bool:
+        """Whether this node, with the disk it has, may vote."""
+        disk_id = self._store.identity.disk_id
+        return self.disk_by_voter().get(self._own.node_id) == disk_id
+
+    def may_answer_for_claims(self) -> bool:
+        """Whether this voter's registers are those that it ever had.
+
+        A voter on a replaced disk would take a claimed key for a free
+        one, so it does not answer for claims.
+        """
+        return self.is_admitted() and self._store.identity.admitted
+
+    def has_quorum(self, node_ids: collections.abc.Iterable[str]) -> bool:
+        """Whether the nodes are a majority of the voters."""
+        voters = self.disk_by_voter()
+        return 2 * len(voters.keys() & set(node_ids)) > len(voters)
+
+    async def seek_admission(self) -> None:
+        """Ask the other voters whether all of them start for the first time.
+
+        Once a voter was admitted with a set of disks, only those disks
+        count; a node that lost its disk waits for an operator.
+        """
+        voter_ids = [
+            n.node_id for n in self._node_by_id.values() if n.is_voter
+        ]
+        others = [name for name in voter_ids if name != self._own.node_id]
+        replies = await asyncio.gather(
+            *(
+                self._link_by_id[name].try_call(
+                    messages.IdentityRequest(), timeout_s=self._lease_s
+                )
+                for name in others
+            )
+        )
+        own_disk = self._store.identity.disk_id
+        disks = {self._own.node_id: own_disk}
+        for name, reply in zip(others, replies, strict=True):
+            match reply:
+                case messages.IdentityReply(admitted=True, voters=voters):
+                    known = {v.node_id: v.disk_id for v in voters}
+                    if known.get(self._own.node_id) == own_disk:
+                        await self._save_admission(known)
+                    return
+                case messages.IdentityReply(disk_id=disk_id):
+                    disks[name] = disk_id
+        if len(disks) == len(voter_ids):
+            await self._save_admission(disks)
+
+    async def _save_admission(self, disks: dict[str, str]) -> None:
+        logs.log_event('voter_admitted', voters=sorted(disks))
+        await self._store.save_identity(
+            logstore.Identity(
+                disk_id=self._store.identity.disk_id,
+                admitted=True,
+                disk_by_voter=disks,
+            )
+        )
+
+    async def on_identity_request(
+        self, peer: messages.Greeting, body: messages.IdentityRequest
+    ) -> messages.Message:
+        """Tell which disk this node has and with whom it was admitted."""
+        known = self.disk_by_voter()
+        return messages.IdentityReply(
+            disk_id=self._store.identity.disk_id,
+            admitted=bool(known),
+            voters=[
+                messages.VoterDisk(node_id=name, disk_id=disk)
+                for name, disk in known.items()
+            ],
+        )
+
+    async def find_disk(self, node_id: str) -> str:
+        """Return the disk that a control node has now.
+
+        Raises ApricotError when it is not a control node in the settings
+        or can not be reached.
+        """
+        node = self._node_by_id.get(node_id)
+        if node is None or not node.is_voter:
+            raise errors.ApricotError(
+                code=errors.ErrorCode.UNKNOWN_ROW,
+                message=f'{node_id!r} is no control node in the settings',
+            )
+        if node_id == self._own.node_id:
+            return self._store.identity.disk_id
+        reply = await self._link_by_id[node_id].call(
+            messages.IdentityRequest(), timeout_s=self._lease_s
+        )
+        return reply.disk_id
--- a/packages/daemon/src/apricotthread/daemon/node.py
+++ b/packages/daemon/src/apricotthread/daemon/node.py
@@ -13,6 +13,7 @@
 from apricotthread.control import claims
 from apricotthread.control import folders
 from apricotthread.control import logstore
+from apricotthread.control import proposals
 from apricotthread.control import registers
 from apricotthread.control import replica
 from apricotthread.daemon import listeners
@@ -101,11 +102,17 @@
             heartbeat_s=settings.heartbeat_s,
             lease_s=settings.lease_s,
         )
+        self.proposer = proposals.Proposer(
+            env=env,
+            agreed=self.agreed,
+            link_by_id=link_by_id,
+            lease_s=settings.lease_s,
+        )
         self.registers = registers.RegisterStore(
             env=env,
             folder=folder,
             retention_s=settings.claim_retention_s,
-            may_answer=self.agreed.may_answer_for_claims,
+            may_answer=self.agreed.voters.may_answer_for_claims,
         )
         self.claimant = claims.Claimant(
             env=env,
@@ -113,7 +120,7 @@
             incarnation=incarnation,
             link_by_id=link_by_id,
             own_registers=self.registers if own.is_voter else None,
-            voters=self.agreed.disk_by_voter,
+            voters=self.agreed.voters.disk_by_voter,
         )
         self.endpoints = registry.Registry(
             env=env,
@@ -182,7 +189,10 @@
             lease_s=settings.lease_s,
         )
         self.marks = localmarks.LocalMarks(
-            env=env, system=self.system, agreed=self.agreed
+            env=env,
+            system=self.system,
+            agreed=self.agreed,
+            proposer=self.proposer,
         )
         self._stopping = asyncio.Event()
         self._register_handlers()
@@ -202,8 +212,8 @@
             messages.VoteRequest: self.agreed.on_vote_request,
             messages.AppendRequest: self.agreed.on_append_request,
             messages.SnapshotPiece: self.agreed.on_snapshot_piece,
-            messages.Proposal: self.agreed.on_proposal,
-            messages.IdentityRequest: self.agreed.on_identity_request,
+            messages.Proposal: self.proposer.on_proposal,
+            messages.IdentityRequest: self.agreed.voters.on_identity_request,
             messages.StateRequest: self.agreed.on_state_request,
             messages.ClaimPrepare: self.registers.on_prepare,
             messages.ClaimAccept: self.registers.on_accept,
@@ -334,6 +344,7 @@
             env=self.env,
             system=self.system,
             agreed=self.agreed,
+            proposer=self.proposer,
             trail=self.trail,
             overview=overviews.Overview(
                 system=self.system,
--- a/packages/operators/src/apricotthread/operators/application.py
+++ b/packages/operators/src/apricotthread/operators/application.py
@@ -11,6 +11,7 @@
 from apricotthread.base import logs
 from apricotthread.control import audit
 from apricotthread.control import commands
+from apricotthread.control import proposals
 from apricotthread.control import replica
 from apricotthread.control import tables
 from apricotthread.operators import bodies
@@ -33,6 +34,7 @@
         env: environment.Environment,
         system: view.SystemView,
         agreed: replica.Replica,
+        proposer: proposals.Proposer,
         trail: audit.AuditTrail,
         overview: overviews.Overview,
         marks: localmarks.LocalMarks,
@@ -41,6 +43,7 @@
         self._env = env
         self._system = system
         self._agreed = agreed
+        self._proposer = proposer
         self._trail = trail
         self._overview = overview
         self._marks = marks
@@ -191,7 +194,7 @@
             return await self._propose(
                 commands.RemoveVoter(origin=origin, node_id=name), []
             )
-        disk_id = await self._agreed.find_disk(name)
+        disk_id = await self._agreed.voters.find_disk(name)
         command = commands.AdmitVoter(
             origin=origin, node_id=name, disk_id=disk_id
         )
@@ -204,7 +207,7 @@
     ) -> responses.Response:
         """Have a command agreed, and tell where it is in force."""
         try:
-            result = await self._agreed.propose(
+            result = await self._proposer.propose(
                 command, timeout_s=PROPOSE_TIMEOUT_S
             )
         except errors.ApricotError as error:
--- a/packages/operators/src/apricotthread/operators/localmarks.py
+++ b/packages/operators/src/apricotthread/operators/localmarks.py
@@ -4,6 +4,7 @@
 from apricotthread.base import errors
 from apricotthread.base import logs
 from apricotthread.control import commands
+from apricotthread.control import proposals
 from apricotthread.control import replica
 from apricotthread.routing import view
 
@@ -25,10 +26,12 @@
         env: environment.Environment,
         system: view.SystemView,
         agreed: replica.Replica,
+        proposer: proposals.Proposer,
     ) -> None:
         self._env = env
         self._system = system
         self._agreed = agreed
+        self._proposer = proposer
         self._command: commands.MarkDataCentre | None = None
 
     def set(self, command: commands.MarkDataCentre) -> None:
@@ -53,7 +56,7 @@
             if command is None or not self._agreed.has_majority():
                 continue
             try:
-                result = await self._agreed.propose(
+                result = await self._proposer.propose(
                     command, timeout_s=FOLD_TIMEOUT_S
                 )
             except errors.ApricotError as error:
--- a/packages/operators/src/apricotthread/operators/overview.py
+++ b/packages/operators/src/apricotthread/operators/overview.py
@@ -26,7 +26,7 @@
     def node_statuses(self) -> list[bodies.NodeStatus]:
         """Return every node, with the version it has confirmed."""
         members = self._system.members
-        voters = self._agreed.disk_by_voter()
+        voters = self._agreed.voters.disk_by_voter()
         statuses = []
         for node_id, node in sorted(members.node_by_id.items()):
             if node_id == self._system.own.node_id:
--- a/tests/replay.py
+++ b/tests/replay.py
@@ -133,7 +133,7 @@
     async def _propose(self, node_id, command) -> commands.Result | None:
         node = self.cluster.node_by_id[node_id]
         try:
-            return await node.agreed.propose(
+            return await node.proposer.propose(
                 command, timeout_s=PROPOSE_TIMEOUT_S
             )
         except errors.ApricotError as error:
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -21,7 +21,7 @@
         base=base,
         command_id=command or f'{name}-{limit}-{node_id}',
     )
-    return await cluster.node_by_id[node_id].agreed.propose(
+    return await cluster.node_by_id[node_id].proposer.propose(
         change, timeout_s=TIMEOUT_S
     )
 
@@ -256,29 +256,29 @@
         await cluster.crash('v2')
         await cluster.env.timer.sleep(30.0)
         assert not cluster.leaders()
-        assert not cluster.node_by_id['v1'].agreed.is_admitted()
+        assert not cluster.node_by_id['v1'].agreed.voters.is_admitted()
         cluster.start('v2')
         await cluster.wait_for_leader()
-        agreed = cluster.node_by_id['v3'].agreed
+        node = cluster.node_by_id['v3']
         origin = cluster.make_change(
             'x', limit=1, base=0, command_id='remove'
         ).origin
-        await agreed.propose(
+        await node.proposer.propose(
             commands.RemoveVoter(origin=origin, node_id='v1'),
             timeout_s=TIMEOUT_S,
         )
-        disk_id = await agreed.find_disk('v1')
+        disk_id = await node.agreed.voters.find_disk('v1')
         origin = cluster.make_change(
             'x', limit=1, base=0, command_id='admit'
         ).origin
-        result = await agreed.propose(
+        result = await node.proposer.propose(
             commands.AdmitVoter(origin=origin, node_id='v1', disk_id=disk_id),
             timeout_s=TIMEOUT_S,
         )
         assert result.accepted
         await cluster.wait_for_version(result.version)
         await cluster.env.timer.sleep(5.0)
-        assert cluster.node_by_id['v1'].agreed.is_admitted()
+        assert cluster.node_by_id['v1'].agreed.voters.is_admitted()
         await cluster.crash('v2')
         result = await propose(cluster, 'v1', 'acme', 2)
         assert result.accepted
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -101,7 +101,7 @@
         ],
     )
     node = cluster.node_by_id['v1']
-    await node.agreed.propose(change, timeout_s=5.0)
+    await node.proposer.propose(change, timeout_s=5.0)
     await env.timer.sleep(5.0)
     return cluster, node.make_applications()[node.settings.caller_port]
 
--- a/tests/test_cuts.py
+++ b/tests/test_cuts.py
@@ -20,8 +20,8 @@
             change = cluster.make_change(
                 'acme', limit=5, base=0, command_id='first'
             )
-            agreed = cluster.node_by_id['v2'].agreed
-            await agreed.propose(change, timeout_s=TIMEOUT_S)
+            node = cluster.node_by_id['v2']
+            await node.proposer.propose(change, timeout_s=TIMEOUT_S)
             await cluster.wait_for_version(1)
             await scenario(cluster)
         finally:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -38,8 +38,8 @@
             change = cluster.make_change(
                 ACCOUNT, limit=limit, base=10**9, command_id='c'
             )
-            agreed = cluster.node_by_id['v1'].agreed
-            await agreed.propose(change, timeout_s=10.0)
+            node = cluster.node_by_id['v1']
+            await node.proposer.propose(change, timeout_s=10.0)
             await env.timer.sleep(5.0)
             return await scenario(cluster)
         finally:
