--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -12,6 +12,7 @@
 import numpy
 
 from apricotthread.control import commands
+from apricotthread.control import ledger
 from apricotthread.control import registers
 from apricotthread.control import state
 from apricotthread.control import tables
@@ -168,7 +169,7 @@
     member = commands.GroupMember(
         endpoint_id='dc1-rack1-vm1', incarnation=1, url='http://10.0.0.1:9000'
     )
-    group = state.Group(
+    group = ledger.Group(
         group_id='g' * 12,
         service='describe',
         model='model',
--- a/bench/groups.py
+++ b/bench/groups.py
@@ -9,6 +9,7 @@
 import matplotlib
 
 from apricotthread.fakes import modelworld
+from apricotthread.groups import actions
 from apricotthread.groups import planner
 from bench import rig
 
@@ -49,17 +50,17 @@
     return events
 
 
-def plan_greedily(given: planner.PlanInput) -> list[planner.Action]:
+def plan_greedily(given: planner.PlanInput) -> list[actions.Action]:
     """Return a naive plan: end what breaks, and start over anywhere."""
-    actions: list[planner.Action] = []
+    planned: list[actions.Action] = []
     for action in planner.make_plan(given):
         match action:
-            case planner.Repair(group=group):
-                actions.append(planner.Dissolve(group=group))
-            case planner.Assemble():
+            case actions.Repair(group=group):
+                planned.append(actions.Dissolve(group=group))
+            case actions.Assemble():
                 pass
             case _:
-                actions.append(action)
+                planned.append(action)
     idle = sorted(
         (
             (vm.domain.name, vm)
@@ -75,14 +76,14 @@
         here = [vm for name, vm in idle if name == domain]
         while len(here) >= GROUP_VMS:
             chosen, here = here[:GROUP_VMS], here[GROUP_VMS:]
-            actions.append(
-                planner.Assemble(
-                    service=services[len(actions) % len(services)],
+            planned.append(
+                actions.Assemble(
+                    service=services[len(planned) % len(services)],
                     domain=chosen[0].domain,
                     members=tuple(planner.make_member(vm) for vm in chosen),
                 )
             )
-    return actions
+    return planned
 
 
 def held_ids(given: planner.PlanInput) -> set[str]:
--- a/bench/naive_entry.py
+++ b/bench/naive_entry.py
@@ -60,22 +60,28 @@
         seed='',
         group_id=group_id,
     )
-    async with session.post(
-        f'{engine_url}/generate', data=msgspec.json.encode(generate)
-    ) as response:
-        async for line in response.content:
-            piece = msgspec.json.decode(line)
-            choice = {'index': 0, 'text': piece['text']}
-            event = msgspec.json.encode(
-                {
-                    'id': 'naive',
-                    'object': 'text_completion',
-                    'model': body['model'],
-                    'choices': [choice],
-                }
-            )
-            events.put_nowait(b'data: ' + event + b'\n\n')
-    events.put_nowait(None)
+    try:
+        async with session.post(
+            f'{engine_url}/generate', data=msgspec.json.encode(generate)
+        ) as response:
+            if response.status != 200:
+                return
+            async for line in response.content:
+                piece = msgspec.json.decode(line)
+                choice = {'index': 0, 'text': piece['text']}
+                event = msgspec.json.encode(
+                    {
+                        'id': 'naive',
+                        'object': 'text_completion',
+                        'model': body['model'],
+                        'choices': [choice],
+                    }
+                )
+                events.put_nowait(b'data: ' + event + b'\n\n')
+    except aiohttp.ClientError:
+        pass
+    finally:
+        events.put_nowait(None)
 
 
 def main() -> None:
--- a/bench/proofs.py
+++ b/bench/proofs.py
@@ -49,7 +49,7 @@
     ),
     Removal(
         mechanism='the ledger refuses a VM that is held',
-        module='control/state.py',
+        module='control/ledger.py',
         code='if in_use or len(set(names)) < len(names) or not names:',
         instead='if not names:',
         test='tests/test_groups.py::test_the_ledger_refuses_a_held_vm',
@@ -105,9 +105,9 @@
     ),
     Removal(
         mechanism='a majority has a change before it is accepted',
-        module='control/replica.py',
-        code='agreed = matches[(len(matches) - 1) // 2]',
-        instead='agreed = matches[-1]',
+        module='control/progress.py',
+        code='return sorted(values)[(len(values) - 1) // 2]',
+        instead='return max(values)',
         test='tests/test_agreement.py::test_a_minority_refuses_and_the_'
         'change_was_not_run',
     ),
@@ -122,7 +122,7 @@
     Removal(
         mechanism='a replaced disk does not vote',
         module='control/replica.py',
-        code='if has_leader or not self.is_admitted():',
+        code='if has_leader or not self.voters.is_admitted():',
         instead='if has_leader:',
         test='tests/test_agreement.py::test_a_lost_disk_does_not_vote_until_'
         'admitted',
--- a/packages/base/src/apricotthread/base/errors.py
+++ b/packages/base/src/apricotthread/base/errors.py
@@ -22,7 +22,6 @@
     CONFLICT = ('conflict', 409)
     KEY_REUSED = ('idempotency_key_reused', 422)
     KEY_TOO_OLD = ('idempotency_key_too_old', 410)
-    CLAIMED_ELSEWHERE = ('claimed_elsewhere', 409)
     ACCOUNT_LIMIT = ('account_limit', 429)
     OVERLOADED = ('overloaded', 503)
     NO_CAPACITY = ('no_capacity', 503)
--- a/packages/base/src/apricotthread/base/settings.py
+++ b/packages/base/src/apricotthread/base/settings.py
@@ -10,7 +10,6 @@
 from apricotthread.base import errors
 from apricotthread.base import units
 
-ROLE_NAMES = ('entry', 'control')
 MAX_PORT = 65535
 FORBIDDEN_IN_NAME = set(' \t/,:;"\'')
 
--- a/packages/callers/src/apricotthread/callers/application.py
+++ b/packages/callers/src/apricotthread/callers/application.py
@@ -1,6 +1,7 @@
 """The HTTP interface for callers: model services and plain services."""
 
 import codecs
+import dataclasses
 import math
 
 import msgspec
@@ -15,6 +16,7 @@
 from apricotthread.callers import bodies
 from apricotthread.callers import intake
 from apricotthread.callers import streams
+from apricotthread.control import tables
 from apricotthread.routing import buffers
 from apricotthread.routing import calls
 from apricotthread.routing import router as request_router
@@ -24,6 +26,15 @@
 PLAIN_METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Wanted:
+    """What a request wants; the deadline is a monotonic time."""
+
+    service: str
+    kind: tables.RequestRow
+    deadline: float
+
+
 class CallerApplication:
     """Serves callers over ASGI."""
 
@@ -123,6 +134,35 @@
         )
         await response(scope, receive, send)
 
+    def _identify(self, request: requests.Request) -> tables.AccountRow:
+        """Return the account of a request that this node may take."""
+        intake.check_headers(request, self._max_header_bytes)
+        self._router.check_open()
+        return intake.find_account(request, self._system)
+
+    def _classify(
+        self,
+        request: requests.Request,
+        name: str,
+        service_type: str,
+        path: str,
+    ) -> Wanted:
+        """Return what a request wants, by the table."""
+        table = self._system.agreed_state.table
+        service = intake.find_service(name, service_type, table)
+        timeout_s = intake.read_timeout_s(request, self._request_timeout_s)
+        return Wanted(
+            service=service.name,
+            kind=intake.find_kind(
+                service.name,
+                request.method,
+                path,
+                request.headers.get('request-kind', ''),
+                table,
+            ),
+            deadline=self._env.timer.now() + timeout_s,
+        )
+
     # Model services
 
     async def _answer_completion(
@@ -138,29 +178,18 @@
     async def _answer_model(
         self, request: requests.Request, request_id: str, send, *, chat: bool
     ) -> None:
-        intake.check_headers(request, self._max_header_bytes)
-        self._router.check_open()
-        account = intake.find_account(request, self._system)
+        account = self._identify(request)
         raw = await intake.read_body(request, self._max_body_bytes)
         body = bodies.parse_body(raw, chat=chat)
-        table = self._system.agreed_state.table
-        service = intake.find_service(body.model, 'model', table)
-        kind = intake.find_kind(
-            service.name,
-            request.method,
-            request.url.path,
-            request.headers.get('request-kind', ''),
-            table,
-        )
+        wanted = self._classify(request, body.model, 'model', request.url.path)
         resumption = intake.read_resumption(request)
-        timeout_s = intake.read_timeout_s(request, self._request_timeout_s)
         call = calls.ModelCall(
             request_id=request_id,
             account=account.name,
-            service=service.name,
-            kind=kind.name,
-            cost=kind.weight,
-            deadline=self._env.timer.now() + timeout_s,
+            service=wanted.service,
+            kind=wanted.kind.name,
+            cost=wanted.kind.weight,
+            deadline=wanted.deadline,
             prompt=body.prompt,
             max_tokens=body.max_tokens,
             offset=resumption.offset if resumption is not None else 0,
@@ -175,7 +204,7 @@
                 stream = streams.EventStream(
                     timer=self._env.timer,
                     request_id=request_id,
-                    service=service.name,
+                    service=wanted.service,
                     chat=chat,
                     buffer=buffer,
                 )
@@ -205,35 +234,24 @@
     async def _answer_plain(
         self, request: requests.Request, request_id: str, send
     ) -> None:
-        intake.check_headers(request, self._max_header_bytes)
-        self._router.check_open()
-        account = intake.find_account(request, self._system)
-        table = self._system.agreed_state.table
-        service = intake.find_service(
-            request.path_params['service'], 'plain', table
-        )
+        account = self._identify(request)
         path = '/' + request.path_params['path']
-        kind = intake.find_kind(
-            service.name,
-            request.method,
-            path,
-            request.headers.get('request-kind', ''),
-            table,
+        wanted = self._classify(
+            request, request.path_params['service'], 'plain', path
         )
         query = request.url.query
-        timeout_s = intake.read_timeout_s(request, self._request_timeout_s)
         call = calls.PlainCall(
             request_id=request_id,
             account=account.name,
-            service=service.name,
-            kind=kind.name,
-            cost=kind.weight,
-            deadline=self._env.timer.now() + timeout_s,
+            service=wanted.service,
+            kind=wanted.kind.name,
+            cost=wanted.kind.weight,
+            deadline=wanted.deadline,
             method=request.method,
             path=f'{path}?{query}' if query else path,
             headers=tuple(request.headers.items()),
             body=await intake.read_body(request, self._max_body_bytes),
-            repeatable=kind.repeatable,
+            repeatable=wanted.kind.repeatable,
             idempotency_key=intake.read_idempotency_key(request),
         )
         async with self._router.open_plain(call) as answer:
--- a/packages/callers/src/apricotthread/callers/streams.py
+++ b/packages/callers/src/apricotthread/callers/streams.py
@@ -44,22 +44,18 @@
 
     async def run(self, receive, send) -> None:
         """Send the answer; raises ConnectionError if the caller leaves."""
-        watch = asyncio.create_task(_wait_for_disconnect(receive))
-        sending = asyncio.create_task(self._send_all(send))
+        watch = asyncio.create_task(self._watch(receive))
         try:
-            await asyncio.wait(
-                (watch, sending), return_when=asyncio.FIRST_COMPLETED
-            )
-            if not sending.done():
-                raise ConnectionError('the caller has left')
-            sending.result()
+            await self._send_all(send)
         finally:
-            for task in (watch, sending):
-                task.cancel()
-                with contextlib.suppress(
-                    asyncio.CancelledError, errors.ApricotError
-                ):
-                    await task
+            watch.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await watch
+
+    async def _watch(self, receive) -> None:
+        """End the answer when the caller leaves; sending then stops."""
+        await _wait_for_disconnect(receive)
+        self._buffer.abandon(ConnectionError('the caller has left'))
 
     async def _send_all(self, send) -> None:
         await send(
--- a/packages/cli/src/apricotthread/cli/core.py
+++ b/packages/cli/src/apricotthread/cli/core.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import pathlib
 import traceback
 import urllib.parse
@@ -15,6 +16,7 @@
 from apricotthread.cli.output import reports
 from apricotthread.cli import status
 from apricotthread.control import commands
+from apricotthread.control import tablecsv
 from apricotthread.control import tables
 from apricotthread.operators import bodies
 
@@ -102,7 +104,7 @@
     if as_json:
         context.print(msgspec.json.encode(body).decode())
     else:
-        context.stdout.write(tables.format_csv(body.table))
+        context.stdout.write(tablecsv.format_csv(body.table))
         context.print_error(f'# version {body.version}')
     return status.ExitStatus.SUCCESS
 
@@ -110,12 +112,12 @@
 def read_table(context: contexts.Context, file: str) -> tables.Table:
     """Read a table from a CSV file, or from standard input for '-'."""
     if file == '-':
-        return tables.parse_csv(context.stdin.read())
+        return tablecsv.parse_csv(context.stdin.read())
     try:
         text = pathlib.Path(file).read_text(encoding='utf-8')
     except (OSError, UnicodeError) as error:
         raise UsageError(f'{file}: {error}') from error
-    return tables.parse_csv(text)
+    return tablecsv.parse_csv(text)
 
 
 def parse_assignments(
@@ -137,7 +139,7 @@
         if column in ('row', 'name', 'service'):
             raise UsageError(f'{column!r} is part of the key {key}')
         cells[column] = value
-    return tables.parse_cells(cells, place=f'row {key}')
+    return tablecsv.parse_cells(cells, place=f'row {key}')
 
 
 async def set_row(
@@ -203,7 +205,8 @@
     return status.ExitStatus.SUCCESS
 
 
-class ChangeOptions(msgspec.Struct, frozen=True, kw_only=True):
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ChangeOptions:
     """The options that every change has."""
 
     command_id: str = ''
--- a/packages/control/src/apricotthread/control/logstore.py
+++ b/packages/control/src/apricotthread/control/logstore.py
@@ -101,11 +101,6 @@
         """How many entries stand after the snapshot."""
         return len(self._entries)
 
-    @property
-    def journal_size(self) -> int:
-        """The bytes of the journal on disk."""
-        return self._journal.size
-
     async def load(self) -> None:
         """Read the folder; a folder without identity gets a new one.
 
--- a/packages/control/src/apricotthread/control/state.py
+++ b/packages/control/src/apricotthread/control/state.py
@@ -4,35 +4,10 @@
 
 from apricotthread.base import errors
 from apricotthread.control import commands
+from apricotthread.control import ledger
 from apricotthread.control import tables
 
 MAX_REMEMBERED_COMMANDS = 4096
-GROUP_STATES = ('assembling', 'serving', 'draining')
-
-
-class Group(msgspec.Struct, frozen=True, kw_only=True):
-    """A ledger entry: a group and the VMs that it holds.
-
-    A VM that leaves is among the departed until it announced that it is
-    idle, or came back as a new incarnation. The entry ends when it holds
-    no VM. A group without members is dissolved.
-    """
-
-    group_id: str
-    service: str
-    model: str
-    version: str
-    data_centre: str
-    fabric_domain: str
-    fencing: int
-    state: str
-    members: list[commands.GroupMember]
-    departed: list[commands.GroupMember] = []
-
-    @property
-    def head(self) -> commands.GroupMember:
-        """The member that takes the requests."""
-        return self.members[0]
 
 
 class AuditRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -60,8 +35,7 @@
     mark_version_by_data_centre: dict[str, int] = {}
     taken_out: list[str] = []
     data_centres: list[str] = []
-    group_by_id: dict[str, Group] = {}
-    last_fencing: int = 0
+    group_ledger: ledger.Ledger = msgspec.field(default_factory=ledger.Ledger)
     result_by_command_id: dict[str, commands.Result] = {}
     disk_by_voter: dict[str, str] = {}
 
@@ -146,17 +120,10 @@
         match command:
             case commands.StartTerm():
                 return self._start_term(command)
-            case commands.AssembleGroup():
-                return self._assemble_group(command)
-            case commands.RepairGroup():
-                return self._repair_group(command)
-            case commands.SetGroupState():
-                return self._set_group_state(command)
-            case commands.DissolveGroup():
-                return self._dissolve_group(command)
-            case commands.ReleaseVm():
-                return self._release_vm(command)
-        raise TypeError(command)
+        outcome = self.content.group_ledger.apply(command)
+        if outcome.refusal:
+            return self._refused(errors.ErrorCode.CONFLICT, outcome.refusal)
+        return self._accepted(group_fencing=outcome.fencing)
 
     def _start_term(self, command: commands.StartTerm) -> commands.Result:
         self.content.data_centres = command.data_centres
@@ -318,148 +285,6 @@
         self.content.version += 1
         return self._accepted(), [change]
 
-    def held_vms(self) -> dict[str, Group]:
-        """Return the group that holds each VM, by endpoint id."""
-        return {
-            member.endpoint_id: group
-            for group in self.content.group_by_id.values()
-            for member in (*group.members, *group.departed)
-        }
-
-    def _assemble_group(
-        self, command: commands.AssembleGroup
-    ) -> commands.Result:
-        refusal = self._check_members(command.members, own_group_id='')
-        if refusal is not None:
-            return refusal
-        self.content.last_fencing += 1
-        self.content.group_by_id[command.group_id] = Group(
-            group_id=command.group_id,
-            service=command.service,
-            model=command.model,
-            version=command.version,
-            data_centre=command.data_centre,
-            fabric_domain=command.fabric_domain,
-            fencing=self.content.last_fencing,
-            state='assembling',
-            members=command.members,
-        )
-        return self._accepted(group_fencing=self.content.last_fencing)
-
-    def _check_members(
-        self, members: list[commands.GroupMember], *, own_group_id: str
-    ) -> commands.Result | None:
-        """Return a refusal if a VM is twice in a list or held elsewhere."""
-        held = self.held_vms()
-        names = [member.endpoint_id for member in members]
-        in_use = [
-            name
-            for name in names
-            if name in held and held[name].group_id != own_group_id
-        ]
-        if in_use or len(set(names)) < len(names) or not names:
-            return self._refused(
-                errors.ErrorCode.CONFLICT,
-                f'VMs are held by another group: {in_use}',
-            )
-        return None
-
-    def _find_group(self, group_id: str, fencing: int) -> Group | None:
-        """Return a group if it still has the fencing number."""
-        group = self.content.group_by_id.get(group_id)
-        if group is None or group.fencing != fencing or not group.members:
-            return None
-        return group
-
-    def _group_gone(self) -> commands.Result:
-        return self._refused(
-            errors.ErrorCode.CONFLICT,
-            'the group has another fencing number or is dissolved',
-        )
-
-    def _repair_group(self, command: commands.RepairGroup) -> commands.Result:
-        group = self._find_group(command.group_id, command.fencing)
-        if group is None:
-            return self._group_gone()
-        refusal = self._check_members(
-            command.members, own_group_id=group.group_id
-        )
-        if refusal is not None:
-            return refusal
-        kept = {member.endpoint_id for member in command.members}
-        departed = {m.endpoint_id for m in group.departed}
-        if kept & departed:
-            return self._refused(
-                errors.ErrorCode.CONFLICT,
-                f'VMs have not been released: {sorted(kept & departed)}',
-            )
-        self.content.last_fencing += 1
-        lost = [m for m in group.members if m.endpoint_id not in kept]
-        self.content.group_by_id[group.group_id] = msgspec.structs.replace(
-            group,
-            fencing=self.content.last_fencing,
-            state='assembling',
-            members=command.members,
-            departed=[*group.departed, *lost],
-        )
-        return self._accepted(group_fencing=self.content.last_fencing)
-
-    def _set_group_state(
-        self, command: commands.SetGroupState
-    ) -> commands.Result:
-        group = self._find_group(command.group_id, command.fencing)
-        if group is None:
-            return self._group_gone()
-        forward = GROUP_STATES.index(command.state) > GROUP_STATES.index(
-            group.state
-        )
-        if not forward:
-            return self._refused(
-                errors.ErrorCode.CONFLICT, f'the group is {group.state}'
-            )
-        self.content.group_by_id[group.group_id] = msgspec.structs.replace(
-            group, state=command.state
-        )
-        return self._accepted()
-
-    def _dissolve_group(
-        self, command: commands.DissolveGroup
-    ) -> commands.Result:
-        group = self._find_group(command.group_id, command.fencing)
-        if group is None:
-            return self._group_gone()
-        self.content.last_fencing += 1
-        self.content.group_by_id[group.group_id] = msgspec.structs.replace(
-            group,
-            fencing=self.content.last_fencing,
-            state='draining',
-            members=[],
-            departed=[*group.departed, *group.members],
-        )
-        return self._accepted(group_fencing=self.content.last_fencing)
-
-    def _release_vm(self, command: commands.ReleaseVm) -> commands.Result:
-        group = self.content.group_by_id.get(command.group_id)
-        if group is None:
-            return self._group_gone()
-        departed = [
-            member
-            for member in group.departed
-            if member.endpoint_id != command.endpoint_id
-        ]
-        if len(departed) == len(group.departed):
-            return self._refused(
-                errors.ErrorCode.CONFLICT,
-                f'{command.endpoint_id} has not left the group',
-            )
-        if departed or group.members:
-            self.content.group_by_id[group.group_id] = msgspec.structs.replace(
-                group, departed=departed
-            )
-        else:
-            del self.content.group_by_id[group.group_id]
-        return self._accepted()
-
 
 class _Change(msgspec.Struct, frozen=True, kw_only=True):
     """What one command wanted to change."""
--- a/packages/control/src/apricotthread/control/tables.py
+++ b/packages/control/src/apricotthread/control/tables.py
@@ -1,8 +1,6 @@
 """The table of weights and limits, and its form as CSV."""
 
-import csv
 import enum
-import io
 import math
 import re
 import typing
@@ -208,56 +206,6 @@
     return row_class.__struct_fields__
 
 
-def parse_cells(cell_by_column: dict[str, str], *, place: str) -> AnyRow:
-    """Parse and check one row from its cells; empty cells take defaults.
-
-    Raises TableError with every wrong cell.
-    """
-    faults = []
-
-    def add_fault(column: str, allowed: str) -> None:
-        faults.append(
-            TableFault(
-                place=place,
-                column=column,
-                value=cell_by_column.get(column, ''),
-                allowed=allowed,
-            )
-        )
-
-    try:
-        row_type = RowType(cell_by_column.get('row', ''))
-    except ValueError:
-        add_fault('row', 'service, account or request')
-        raise TableError(faults=faults) from None
-    row_class = ROW_CLASS_BY_TYPE[row_type]
-    used = columns_of(row_class)
-    value_by_column = {}
-    for column, text in cell_by_column.items():
-        if column == 'row' or not text:
-            continue
-        if column not in used:
-            add_fault(column, f'empty in a {row_type.value} row')
-            continue
-        parse, allowed = PARSE_BY_COLUMN.get(column, PARSE_TEXT)
-        try:
-            value_by_column[column] = parse(text)
-        except (ValueError, KeyError):
-            add_fault(column, allowed)
-    if faults:
-        raise TableError(faults=faults)
-    value_by_column.setdefault('name', '')
-    if row_class is RequestRow:
-        value_by_column.setdefault('service', '')
-    if row_class is ServiceRow:
-        value_by_column.setdefault('type', '')
-    row = row_class(**value_by_column)
-    wrong = check_row(row, place=place)
-    if wrong:
-        raise TableError(faults=wrong)
-    return row
-
-
 def check_row(row: AnyRow, *, place: str) -> list[TableFault]:
     """Return the wrong cells of one row."""
     faults = []
@@ -347,74 +295,6 @@
     return faults
 
 
-def parse_csv(text: str) -> Table:
-    """Parse and check a table in CSV; raises TableError."""
-    reader = csv.reader(io.StringIO(text), strict=True)
-    faults: list[TableFault] = []
-    rows: dict[RowKey, AnyRow] = {}
-    try:
-        header = next(reader, [])
-        unknown = [name for name in header if name not in COLUMNS]
-        if unknown or 'row' not in header or len(set(header)) < len(header):
-            raise TableError(
-                faults=[
-                    TableFault(
-                        place='line 1',
-                        column=', '.join(unknown) or 'row',
-                        value=','.join(header),
-                        allowed='each once of ' + ','.join(COLUMNS),
-                    )
-                ]
-            )
-        for cells in reader:
-            if not cells:
-                continue
-            place = f'line {reader.line_num}'
-            if len(cells) != len(header):
-                faults.append(
-                    TableFault(
-                        place=place,
-                        column='-',
-                        value=','.join(cells),
-                        allowed=f'{len(header)} cells',
-                    )
-                )
-                continue
-            stripped = [cell.strip() for cell in cells]
-            try:
-                row = parse_cells(
-                    dict(zip(header, stripped, strict=True)), place=place
-                )
-            except TableError as error:
-                faults.extend(error.faults)
-                continue
-            if key_of(row) in rows:
-                faults.append(
-                    TableFault(
-                        place=place,
-                        column='name',
-                        value=row.name,
-                        allowed='a name that no other row has',
-                    )
-                )
-            rows[key_of(row)] = row
-    except csv.Error as error:
-        faults.append(
-            TableFault(
-                place=f'line {reader.line_num}',
-                column='-',
-                value=str(error),
-                allowed='CSV',
-            )
-        )
-    table = make_table(rows.values())
-    if not faults:
-        faults.extend(check_table(table))
-    if faults:
-        raise TableError(faults=faults)
-    return table
-
-
 def cells_of(row: AnyRow) -> dict[str, str]:
     """Return the cells of a row by column."""
     cells = {'row': type(row).__struct_config__.tag}
@@ -423,16 +303,6 @@
     return cells
 
 
-def format_csv(table: Table) -> str:
-    """Return a table as CSV."""
-    out = io.StringIO()
-    writer = csv.DictWriter(out, COLUMNS, restval='', lineterminator='\n')
-    writer.writeheader()
-    for row in table.rows:
-        writer.writerow(cells_of(row))
-    return out.getvalue()
-
-
 class RowChange(msgspec.Struct, frozen=True, kw_only=True):
     """A row before and after a change; None where it is not there."""
 
--- a/packages/daemon/src/apricotthread/daemon/node.py
+++ b/packages/daemon/src/apricotthread/daemon/node.py
@@ -17,6 +17,7 @@
 from apricotthread.control import registers
 from apricotthread.control import replica
 from apricotthread.daemon import listeners
+from apricotthread.daemon import softstate
 from apricotthread.endpoints import announcements
 from apricotthread.endpoints import application as endpoint_application
 from apricotthread.endpoints import client
@@ -67,7 +68,6 @@
             data_centre=own.data_centre,
             incarnation=incarnation,
         )
-        self._incarnation = incarnation
         network = network or connections.TcpNetwork(
             max_frame_bytes=settings.max_frame_bytes, recorded=env.metrics
         )
@@ -82,6 +82,7 @@
             greeting=greeting,
             heartbeat_s=settings.heartbeat_s,
             lease_s=settings.lease_s,
+            on_change=self._on_heartbeat,
         )
         link_by_id = self.members.link_by_id
         self.peer_server = server.PeerServer(
@@ -194,6 +195,15 @@
             agreed=self.agreed,
             proposer=self.proposer,
         )
+        self.soft_state = softstate.SoftState(
+            env=env,
+            own=own,
+            incarnation=incarnation,
+            system=self.system,
+            agreed=self.agreed,
+            schedule=self.schedule,
+            max_age_s=settings.heartbeat_s / 2,
+        )
         self._stopping = asyncio.Event()
         self._register_handlers()
 
@@ -201,6 +211,9 @@
         row = self.system.agreed_state.table.account_by_name().get(account)
         return row.limit if row is not None else 0
 
+    def _on_heartbeat(self) -> None:
+        self.schedule.wake()
+
     def _on_endpoint_change(self) -> None:
         self.system.on_announcement()
         self.schedule.wake()
@@ -229,31 +242,6 @@
             messages.Dispatch, self.dispatch.on_dispatch
         )
 
-    def make_heartbeat(
-        self, peer: node_settings.NodeAddress, sequence: int
-    ) -> messages.Heartbeat:
-        """Return what a peer is to know of this node.
-
-        Single VMs are of use to the own data centre and to those who
-        plan groups; all others get the sums by service.
-        """
-        own = self.settings.own
-        is_near = peer.data_centre == own.data_centre
-        return messages.Heartbeat(
-            sequence=sequence,
-            incarnation=self._incarnation,
-            draining=self.system.draining,
-            applied_index=self.agreed.applied_index,
-            version=self.system.agreed_state.version,
-            capacities=self.schedule.capacities(),
-            vms=(
-                self.system.own_vm_reports()
-                if is_near or peer.is_voter
-                else []
-            ),
-            local_out=self.system.local_mark is not None,
-        )
-
     def why_not_ready(self) -> str:
         """Return why the balancer should send nothing here, or nothing."""
         if self.system.draining:
@@ -294,7 +282,9 @@
         try:
             async with asyncio.TaskGroup() as tasks:
                 tasks.create_task(self.peer_server.run())
-                tasks.create_task(self.members.run(self.make_heartbeat))
+                tasks.create_task(
+                    self.members.run(self.soft_state.make_heartbeat)
+                )
                 tasks.create_task(self.agreed.run())
                 tasks.create_task(self.limits.run())
                 tasks.create_task(self.marks.run())
--- /dev/null
+++ b/packages/daemon/src/apricotthread/daemon/softstate.py
@@ -0,0 +1,62 @@
+"""What a node tells its peers of itself in heartbeats."""
+
+from apricotthread.base import environment
+from apricotthread.base import settings as node_settings
+from apricotthread.control import replica
+from apricotthread.nodes import messages
+from apricotthread.routing import scheduler
+from apricotthread.routing import view
+
+
+class SoftState:
+    """Makes heartbeats; what all peers get is worked out once for all."""
+
+    def __init__(
+        self,
+        *,
+        env: environment.Environment,
+        own: node_settings.NodeAddress,
+        incarnation: int,
+        system: view.SystemView,
+        agreed: replica.Replica,
+        schedule: scheduler.Scheduler,
+        max_age_s: float,
+    ) -> None:
+        self._env = env
+        self._own = own
+        self._incarnation = incarnation
+        self._system = system
+        self._agreed = agreed
+        self._schedule = schedule
+        self._max_age_s = max_age_s
+        self._made_at = float('-inf')
+        self._capacities: list[messages.Capacity] = []
+        self._vms: list[messages.VmReport] = []
+
+    def make_heartbeat(
+        self, peer: node_settings.NodeAddress, sequence: int
+    ) -> messages.Heartbeat:
+        """Return what a peer is to know of this node.
+
+        Single VMs are of use to the own data centre and to those who
+        plan groups; all others get the sums by service.
+        """
+        self._refresh()
+        is_near = peer.data_centre == self._own.data_centre
+        return messages.Heartbeat(
+            sequence=sequence,
+            incarnation=self._incarnation,
+            draining=self._system.draining,
+            applied_index=self._agreed.applied_index,
+            version=self._system.agreed_state.version,
+            capacities=self._capacities,
+            vms=self._vms if is_near or peer.is_voter else [],
+            local_out=self._system.local_mark is not None,
+        )
+
+    def _refresh(self) -> None:
+        now = self._env.timer.now()
+        if now - self._made_at > self._max_age_s:
+            self._capacities = self._schedule.capacities()
+            self._vms = self._system.own_vm_reports()
+            self._made_at = now
--- a/packages/endpoints/src/apricotthread/endpoints/client.py
+++ b/packages/endpoints/src/apricotthread/endpoints/client.py
@@ -14,7 +14,6 @@
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTION_S = 10.0
-MAX_LINE_BYTES = 64 * units.KIB
 READ_BUFFER_BYTES = 16 * units.KIB
 PLAIN_PIECE_BYTES = 16 * units.KIB
 NOT_WHOLE_STATUS = 409
--- a/packages/fakes/src/apricotthread/fakes/localsystem.py
+++ b/packages/fakes/src/apricotthread/fakes/localsystem.py
@@ -183,10 +183,6 @@
         for node_id in self.plan_by_id:
             await self.start_node(node_id)
 
-    def signal_node(self, node_id: str, number: signal.Signals) -> None:
-        """Send a signal to one node process."""
-        self.process_by_id[node_id].send_signal(number)
-
     async def stop_node(self, node_id: str) -> int:
         """Stop one node gracefully; return its exit status."""
         process = self.process_by_id.pop(node_id)
--- a/packages/fakes/src/apricotthread/fakes/modelworld.py
+++ b/packages/fakes/src/apricotthread/fakes/modelworld.py
@@ -3,8 +3,10 @@
 import dataclasses
 
 from apricotthread.control import commands
+from apricotthread.control import ledger
 from apricotthread.control import state as states
 from apricotthread.control import tables
+from apricotthread.groups import actions
 from apricotthread.groups import planner
 from apricotthread.nodes import messages
 
@@ -126,18 +128,18 @@
         result, _ = self.state.apply(command, index=self.index)
         return result
 
-    def groups(self) -> tuple[states.Group, ...]:
+    def groups(self) -> tuple[ledger.Group, ...]:
         """Return the ledger's groups."""
-        return tuple(self.state.content.group_by_id.values())
+        return self.state.content.group_ledger.groups()
 
     def make_input(self) -> planner.PlanInput:
         """Return what the leader sees; it hears only of living VMs."""
         return planner.PlanInput(
             table=self.state.content.table,
             groups=self.groups(),
-            last_fencing=self.state.content.last_fencing,
+            last_fencing=self.state.content.group_ledger.last_fencing,
             vm_by_id={
-                name: planner.Vm(
+                name: actions.Vm(
                     report=vm.report(), data_centre='dc', fresh=vm.alive
                 )
                 for name, vm in self.vms.items()
@@ -155,10 +157,10 @@
         if deliver:
             self.deliver_all()
 
-    def carry_out(self, action: planner.Action) -> None:
+    def carry_out(self, action: actions.Action) -> None:
         """Do what the manager does for an action."""
         match action:
-            case planner.Assemble():
+            case actions.Assemble():
                 self.apply(
                     commands.AssembleGroup(
                         group_id=f'g{self.index}',
@@ -170,7 +172,7 @@
                         members=list(action.members),
                     )
                 )
-            case planner.Repair(group=group, members=members):
+            case actions.Repair(group=group, members=members):
                 self.apply(
                     commands.RepairGroup(
                         group_id=group.group_id,
@@ -178,26 +180,26 @@
                         members=list(members),
                     )
                 )
-            case planner.Drain(group=group):
+            case actions.Drain(group=group):
                 self.set_state(group, 'draining')
-            case planner.Dissolve(group=group):
+            case actions.Dissolve(group=group):
                 self.apply(
                     commands.DissolveGroup(
                         group_id=group.group_id, fencing=group.fencing
                     )
                 )
-            case planner.Release(group=group, endpoint_id=name):
+            case actions.Release(group=group, endpoint_id=name):
                 self.apply(
                     commands.ReleaseVm(
                         group_id=group.group_id, endpoint_id=name
                     )
                 )
-            case planner.OrderRelease(endpoint_id=name, fencing=fencing):
+            case actions.OrderRelease(endpoint_id=name, fencing=fencing):
                 self.orders.append((name, fencing, ''))
-            case planner.Advance(group=group):
+            case actions.Advance(group=group):
                 self.advance(group)
 
-    def set_state(self, group: states.Group, name: str) -> None:
+    def set_state(self, group: ledger.Group, name: str) -> None:
         """Move a group on in the ledger."""
         self.apply(
             commands.SetGroupState(
@@ -205,7 +207,7 @@
             )
         )
 
-    def advance(self, group: states.Group) -> None:
+    def advance(self, group: ledger.Group) -> None:
         """Serve when every member confirmed, else order them to join."""
         if all(self.is_ready(group, m) for m in group.members):
             self.set_state(group, 'serving')
@@ -219,7 +221,7 @@
             )
 
     def is_ready(
-        self, group: states.Group, member: commands.GroupMember
+        self, group: ledger.Group, member: commands.GroupMember
     ) -> bool:
         """Whether a member is ready under the group's number."""
         vm = self.vms[member.endpoint_id]
@@ -236,7 +238,7 @@
             self.vms[name].obey(fencing, group_id)
         self.orders.clear()
 
-    def serving(self) -> list[states.Group]:
+    def serving(self) -> list[ledger.Group]:
         """Return the groups that may take requests."""
         return [
             g
--- a/packages/groups/src/apricotthread/groups/manager.py
+++ b/packages/groups/src/apricotthread/groups/manager.py
@@ -8,10 +8,11 @@
 from apricotthread.base import logs
 from apricotthread.base import units
 from apricotthread.control import commands
+from apricotthread.control import ledger
 from apricotthread.control import replica
-from apricotthread.control import state
 from apricotthread.endpoints import announcements
 from apricotthread.endpoints import client
+from apricotthread.groups import actions
 from apricotthread.groups import planner
 from apricotthread.nodes import messages
 from apricotthread.routing import view
@@ -121,12 +122,12 @@
             return
         given = self._make_input()
         self._measure(given)
-        actions = planner.make_plan(given)
-        await asyncio.gather(*(self._carry_out(a) for a in actions))
+        planned = planner.make_plan(given)
+        await asyncio.gather(*(self._carry_out(a) for a in planned))
 
     def _make_input(self) -> planner.PlanInput:
         content = self._agreed.state.content
-        groups = tuple(content.group_by_id.values())
+        groups = content.group_ledger.groups()
         self._assembling_since = self._time_states(
             groups, 'assembling', self._assembling_since
         )
@@ -136,7 +137,7 @@
         return planner.PlanInput(
             table=content.table,
             groups=groups,
-            last_fencing=content.last_fencing,
+            last_fencing=content.group_ledger.last_fencing,
             vm_by_id=self._vm_by_id(),
             stuck_group_ids=self._older_than(
                 groups, self._assembling_since, ASSEMBLY_TIMEOUT_S
@@ -148,7 +149,7 @@
 
     def _time_states(
         self,
-        groups: tuple[state.Group, ...],
+        groups: tuple[ledger.Group, ...],
         name: str,
         since_by_fencing: dict[int, float],
     ) -> dict[int, float]:
@@ -162,7 +163,7 @@
 
     def _older_than(
         self,
-        groups: tuple[state.Group, ...],
+        groups: tuple[ledger.Group, ...],
         since_by_fencing: dict[int, float],
         age_s: float,
     ) -> frozenset[str]:
@@ -173,14 +174,14 @@
             if since_by_fencing.get(group.fencing, oldest) < oldest
         )
 
-    def _vm_by_id(self) -> dict[str, planner.Vm]:
+    def _vm_by_id(self) -> dict[str, actions.Vm]:
         node_by_id = self._system.members.node_by_id
         vm_by_id = {}
         for endpoint_id, report in self._system.vm_reports().items():
             home = self._system.home_of(endpoint_id)
             if home is None:
                 continue
-            vm_by_id[endpoint_id] = planner.Vm(
+            vm_by_id[endpoint_id] = actions.Vm(
                 report=report,
                 data_centre=node_by_id[home].data_centre,
                 fresh=self._system.is_fresh(report),
@@ -220,9 +221,9 @@
             self.downtime.stranded_accelerator_s,
         )
 
-    async def _carry_out(self, action: planner.Action) -> None:
+    async def _carry_out(self, action: actions.Action) -> None:
         match action:
-            case planner.Assemble():
+            case actions.Assemble():
                 await self._propose(
                     commands.AssembleGroup(
                         group_id=self._env.new_id()[:12],
@@ -234,7 +235,7 @@
                         members=list(action.members),
                     )
                 )
-            case planner.Repair(group=group, members=members):
+            case actions.Repair(group=group, members=members):
                 await self._propose(
                     commands.RepairGroup(
                         group_id=group.group_id,
@@ -242,26 +243,26 @@
                         members=list(members),
                     )
                 )
-            case planner.Drain(group=group):
+            case actions.Drain(group=group):
                 await self._set_state(group, 'draining')
-            case planner.Dissolve(group=group):
+            case actions.Dissolve(group=group):
                 await self._propose(
                     commands.DissolveGroup(
                         group_id=group.group_id, fencing=group.fencing
                     )
                 )
-            case planner.Release(group=group, endpoint_id=endpoint_id):
+            case actions.Release(group=group, endpoint_id=endpoint_id):
                 await self._propose(
                     commands.ReleaseVm(
                         group_id=group.group_id, endpoint_id=endpoint_id
                     )
                 )
-            case planner.OrderRelease(
+            case actions.OrderRelease(
                 endpoint_id=endpoint_id, fencing=fencing
             ):
                 order = announcements.Order(action='release', fencing=fencing)
                 await self._order(endpoint_id, order)
-            case planner.Advance(group=group):
+            case actions.Advance(group=group):
                 await self._advance(group)
 
     async def _propose(self, command: commands.AnyCommand) -> None:
@@ -277,14 +278,14 @@
         )
         self._env.metrics.count(f'ledger_{kind}')
 
-    async def _set_state(self, group: state.Group, name: str) -> None:
+    async def _set_state(self, group: ledger.Group, name: str) -> None:
         await self._propose(
             commands.SetGroupState(
                 group_id=group.group_id, fencing=group.fencing, state=name
             )
         )
 
-    async def _advance(self, group: state.Group) -> None:
+    async def _advance(self, group: ledger.Group) -> None:
         """Order who has not joined yet; serve when all have, and a probe."""
         reports = self._system.vm_reports()
         missing = [
@@ -324,7 +325,7 @@
 
     def _has_joined(
         self,
-        group: state.Group,
+        group: ledger.Group,
         reports: dict[str, messages.VmReport],
         member: commands.GroupMember,
     ) -> bool:
--- a/packages/groups/src/apricotthread/groups/planner.py
+++ b/packages/groups/src/apricotthread/groups/planner.py
@@ -9,109 +9,27 @@
 import dataclasses
 
 from apricotthread.control import commands
-from apricotthread.control import state
+from apricotthread.control import ledger
 from apricotthread.control import tables
+from apricotthread.groups import actions
 from apricotthread.nodes import messages
 
 IDLE = 'idle'
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class FabricDomain:
-    """A fabric domain of a data centre."""
-
-    data_centre: str
-    name: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Vm:
-    """An engine VM as the leader sees it."""
-
-    report: messages.VmReport
-    data_centre: str
-    fresh: bool
-
-    @property
-    def domain(self) -> FabricDomain:
-        """Where the VM stands."""
-        return FabricDomain(
-            data_centre=self.data_centre, name=self.report.fabric_domain
-        )
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Assemble:
-    """Enter a new group into the ledger."""
-
-    service: tables.ServiceRow
-    domain: FabricDomain
-    members: tuple[commands.GroupMember, ...]
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Repair:
-    """Replace the lost members of a group by idle VMs of its domain."""
-
-    group: state.Group
-    members: tuple[commands.GroupMember, ...]
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Drain:
-    """Stop new work to a group that is to end."""
-
-    group: state.Group
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Dissolve:
-    """End a group."""
-
-    group: state.Group
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Release:
-    """Free a VM that has left its group."""
-
-    group: state.Group
-    endpoint_id: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class OrderRelease:
-    """Order a VM to leave whatever group it is in."""
-
-    endpoint_id: str
-    fencing: int
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Advance:
-    """Order members to join, and have the group serve when all have."""
-
-    group: state.Group
-
-
-Action = (
-    Assemble | Repair | Drain | Dissolve | Release | OrderRelease | Advance
-)
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PlanInput:
     """Everything that the plan follows from."""
 
     table: tables.Table
-    groups: tuple[state.Group, ...]
+    groups: tuple[ledger.Group, ...]
     last_fencing: int
-    vm_by_id: dict[str, Vm]
+    vm_by_id: dict[str, actions.Vm]
     stuck_group_ids: frozenset[str] = frozenset()
     drained_group_ids: frozenset[str] = frozenset()
 
 
-def make_plan(given: PlanInput) -> list[Action]:
+def make_plan(given: PlanInput) -> list[actions.Action]:
     """Return the next actions; each is safe to repeat."""
     return [
         *_plan_departed(given),
@@ -121,36 +39,40 @@
     ]
 
 
-def _plan_departed(given: PlanInput) -> list[Action]:
+def _plan_departed(given: PlanInput) -> list[actions.Action]:
     """Free the VMs that have left, and order the others to."""
-    actions: list[Action] = []
+    planned: list[actions.Action] = []
     for group in given.groups:
         for member in group.departed:
             vm = given.vm_by_id.get(member.endpoint_id)
             if vm is None or not vm.fresh:
                 continue
             if has_left(group, member, vm.report):
-                actions.append(
-                    Release(group=group, endpoint_id=member.endpoint_id)
+                planned.append(
+                    actions.Release(
+                        group=group, endpoint_id=member.endpoint_id
+                    )
                 )
             else:
-                actions.append(
-                    OrderRelease(
+                planned.append(
+                    actions.OrderRelease(
                         endpoint_id=member.endpoint_id,
                         fencing=group.fencing,
                     )
                 )
-    return actions
+    return planned
 
 
-def _plan_strays(given: PlanInput) -> list[Action]:
+def _plan_strays(given: PlanInput) -> list[actions.Action]:
     """Order VMs to be idle that are in a group which does not hold them.
 
     A late order can put a restarted VM there after it was released.
     """
     held = _held_ids(given)
     return [
-        OrderRelease(endpoint_id=endpoint_id, fencing=given.last_fencing)
+        actions.OrderRelease(
+            endpoint_id=endpoint_id, fencing=given.last_fencing
+        )
         for endpoint_id, vm in sorted(given.vm_by_id.items())
         if vm.fresh
         and endpoint_id not in held
@@ -167,7 +89,7 @@
 
 
 def has_left(
-    group: state.Group,
+    group: ledger.Group,
     member: commands.GroupMember,
     report: messages.VmReport,
 ) -> bool:
@@ -187,7 +109,7 @@
 
 
 def lost_members(
-    group: state.Group, given: PlanInput
+    group: ledger.Group, given: PlanInput
 ) -> list[commands.GroupMember]:
     """Return the members that can not serve in the group any more."""
     return [
@@ -198,7 +120,7 @@
 
 
 def _can_serve(
-    group: state.Group, member: commands.GroupMember, given: PlanInput
+    group: ledger.Group, member: commands.GroupMember, given: PlanInput
 ) -> bool:
     vm = given.vm_by_id.get(member.endpoint_id)
     if vm is None or not vm.fresh or vm.report.leaving:
@@ -216,9 +138,9 @@
     )
 
 
-def _plan_existing(given: PlanInput) -> list[Action]:
+def _plan_existing(given: PlanInput) -> list[actions.Action]:
     """Repair, end or advance each group that is in the ledger."""
-    actions: list[Action] = []
+    planned: list[actions.Action] = []
     idle = _idle_by_domain(given)
     services = given.table.service_by_name()
     for group in given.groups:
@@ -227,17 +149,17 @@
         lost = lost_members(group, given)
         if group.state == 'draining':
             if _has_broken(lost, given) or _is_drained(group, given):
-                actions.append(Dissolve(group=group))
+                planned.append(actions.Dissolve(group=group))
         elif lost:
-            actions.append(_plan_loss(group, lost, idle, given))
+            planned.append(_plan_loss(group, lost, idle, given))
         elif group.state == 'assembling':
-            actions.append(Advance(group=group))
-    if not actions and _is_settled(given):
-        actions.extend(_plan_changes(given, services))
-    return actions
+            planned.append(actions.Advance(group=group))
+    if not planned and _is_settled(given):
+        planned.extend(_plan_changes(given, services))
+    return planned
 
 
-def _is_drained(group: state.Group, given: PlanInput) -> bool:
+def _is_drained(group: ledger.Group, given: PlanInput) -> bool:
     """Whether every entry stopped new work and no old work runs."""
     vm = given.vm_by_id.get(group.head.endpoint_id)
     is_idle = vm is None or vm.report.running == 0
@@ -260,11 +182,11 @@
 
 
 def _plan_loss(
-    group: state.Group,
+    group: ledger.Group,
     lost: list[commands.GroupMember],
-    idle: dict[FabricDomain, list[Vm]],
+    idle: dict[actions.FabricDomain, list[actions.Vm]],
     given: PlanInput,
-) -> Action:
+) -> actions.Action:
     """Replace lost members from the same domain, else end the group.
 
     A member that only leaves still answers what it has; the group then
@@ -272,20 +194,20 @@
     """
     only_leaving = not _has_broken(lost, given)
     if only_leaving and group.state == 'serving':
-        return Drain(group=group)
-    domain = FabricDomain(
+        return actions.Drain(group=group)
+    domain = actions.FabricDomain(
         data_centre=group.data_centre, name=group.fabric_domain
     )
     spares = idle.get(domain, [])
     if len(spares) < len(lost):
-        return Dissolve(group=group)
+        return actions.Dissolve(group=group)
     replacements = [make_member(vm) for vm in spares[: len(lost)]]
     del spares[: len(lost)]
     survivors = [member for member in group.members if member not in lost]
-    return Repair(group=group, members=(*survivors, *replacements))
+    return actions.Repair(group=group, members=(*survivors, *replacements))
 
 
-def make_member(vm: Vm) -> commands.GroupMember:
+def make_member(vm: actions.Vm) -> commands.GroupMember:
     """Return the ledger entry for a VM."""
     return commands.GroupMember(
         endpoint_id=vm.report.endpoint_id,
@@ -294,10 +216,14 @@
     )
 
 
-def _idle_by_domain(given: PlanInput) -> dict[FabricDomain, list[Vm]]:
+def _idle_by_domain(
+    given: PlanInput,
+) -> dict[actions.FabricDomain, list[actions.Vm]]:
     """Return the VMs that are free to be taken, by domain."""
     held = _held_ids(given)
-    idle: dict[FabricDomain, list[Vm]] = collections.defaultdict(list)
+    idle: dict[actions.FabricDomain, list[actions.Vm]] = (
+        collections.defaultdict(list)
+    )
     for endpoint_id, vm in sorted(given.vm_by_id.items()):
         is_idle = (
             vm.fresh
@@ -328,7 +254,7 @@
 
 def _plan_changes(
     given: PlanInput, services: dict[str, tables.ServiceRow]
-) -> list[Action]:
+) -> list[actions.Action]:
     """Drain one group that the table no longer wants as it is.
 
     The next one follows once the VMs of this one serve again, so a
@@ -337,7 +263,7 @@
     groups = [group for group in given.groups if group.members]
     for group in groups:
         if _is_unwanted(group, services.get(group.service)):
-            return [Drain(group=group)]
+            return [actions.Drain(group=group)]
     groups_by_service = collections.defaultdict(list)
     for group in groups:
         groups_by_service[group.service].append(group)
@@ -345,7 +271,7 @@
 
 
 def _is_unwanted(
-    group: state.Group, service: tables.ServiceRow | None
+    group: ledger.Group, service: tables.ServiceRow | None
 ) -> bool:
     return (
         service is None
@@ -357,8 +283,8 @@
 
 def _plan_rebalance(
     services: dict[str, tables.ServiceRow],
-    groups_by_service: dict[str, list[state.Group]],
-) -> list[Action]:
+    groups_by_service: dict[str, list[ledger.Group]],
+) -> list[actions.Action]:
     """Drain one group of a service that has too much of its pool.
 
     Only a move that leaves the pool nearer to the weights is made.
@@ -390,13 +316,13 @@
                 if len(g.members) >= poorest.group_vms
             ]
             if fits:
-                return [Drain(group=fits[-1])]
+                return [actions.Drain(group=fits[-1])]
     return []
 
 
-def _plan_new(given: PlanInput) -> list[Action]:
+def _plan_new(given: PlanInput) -> list[actions.Action]:
     """Assemble groups from idle VMs, as the weights of each pool say."""
-    actions: list[Action] = []
+    planned: list[actions.Action] = []
     idle = _idle_by_domain(given)
     wanted_spares = _lost_by_domain(given)
     for domain, count in wanted_spares.items():
@@ -416,7 +342,7 @@
             chosen = _choose_next(rows, held, idle)
             if chosen is None:
                 break
-            actions.append(chosen)
+            planned.append(chosen)
             held[chosen.service.name] += len(chosen.members)
             taken = {m.endpoint_id for m in chosen.members}
             idle[chosen.domain] = [
@@ -424,15 +350,15 @@
                 for vm in idle[chosen.domain]
                 if vm.report.endpoint_id not in taken
             ]
-    return actions
+    return planned
 
 
-def _lost_by_domain(given: PlanInput) -> dict[FabricDomain, int]:
+def _lost_by_domain(given: PlanInput) -> dict[actions.FabricDomain, int]:
     """Return how many idle VMs repairs need first, by domain."""
-    count: dict[FabricDomain, int] = collections.Counter()
+    count: dict[actions.FabricDomain, int] = collections.Counter()
     for group in given.groups:
         if group.members and group.state != 'draining':
-            domain = FabricDomain(
+            domain = actions.FabricDomain(
                 data_centre=group.data_centre, name=group.fabric_domain
             )
             count[domain] += len(lost_members(group, given))
@@ -442,8 +368,8 @@
 def _choose_next(
     rows: list[tables.ServiceRow],
     held: collections.Counter,
-    idle: dict[FabricDomain, list[Vm]],
-) -> Assemble | None:
+    idle: dict[actions.FabricDomain, list[actions.Vm]],
+) -> actions.Assemble | None:
     """Return the group that brings the pool nearest to its weights.
 
     It goes to the tightest domain that has room, so that what is left
@@ -460,7 +386,7 @@
             continue
         domain = min(fitting, key=lambda item: item[:3])[3]
         chosen = idle[domain][: row.group_vms]
-        return Assemble(
+        return actions.Assemble(
             service=row,
             domain=domain,
             members=tuple(make_member(vm) for vm in chosen),
--- a/packages/nodes/src/apricotthread/nodes/membership.py
+++ b/packages/nodes/src/apricotthread/nodes/membership.py
@@ -36,10 +36,12 @@
         greeting: messages.Greeting,
         heartbeat_s: float,
         lease_s: float,
+        on_change: collections.abc.Callable[[], None],
     ) -> None:
         self._env = env
         self._heartbeat_s = heartbeat_s
         self._lease_s = lease_s
+        self._on_change = on_change
         self.own = own
         self.node_by_id = node_by_id
         self.state_by_id: dict[str, PeerState] = {}
@@ -54,7 +56,6 @@
             for node_id, node in node_by_id.items()
             if node_id != own.node_id
         }
-        self.changed = asyncio.Event()
 
     async def run(self, make_heartbeat: MakeHeartbeat) -> None:
         """Run the link and the heartbeats of every peer."""
@@ -86,7 +87,7 @@
             self.state_by_id[peer.node_id] = PeerState(
                 heartbeat=heartbeat, received_at=now
             )
-            self.changed.set()
+            self._on_change()
         return messages.Done()
 
     def _replaces(
--- a/packages/nodes/src/apricotthread/nodes/messages.py
+++ b/packages/nodes/src/apricotthread/nodes/messages.py
@@ -348,16 +348,6 @@
     lines: list[str]
 
 
-class StatusRequest(Message):
-    """Asks a node for its status."""
-
-
-class StatusReply(Message):
-    """The status of a node as a JSON object."""
-
-    data: bytes
-
-
 BODY_TYPES = (
     Greeting,
     Heartbeat,
@@ -389,7 +379,5 @@
     CreditReply,
     AuditRequest,
     AuditReply,
-    StatusRequest,
-    StatusReply,
     Resignation,
 )
--- a/packages/nodes/src/apricotthread/nodes/peer.capnp
+++ b/packages/nodes/src/apricotthread/nodes/peer.capnp
@@ -37,9 +37,7 @@
     creditReply @29 :CreditReply;
     auditRequest @30 :AuditRequest;
     auditReply @31 :AuditReply;
-    statusRequest @32 :StatusRequest;
-    statusReply @33 :StatusReply;
-    resignation @34 :Resignation;
+    resignation @32 :Resignation;
   }
 }
 
@@ -290,7 +288,3 @@
 struct AuditRequest { since @0 :UInt64; }
 
 struct AuditReply { lines @0 :List(Text); }
-
-struct StatusRequest {}
-
-struct StatusReply { data @0 :Data; }
--- a/packages/operators/src/apricotthread/operators/bodies.py
+++ b/packages/operators/src/apricotthread/operators/bodies.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from apricotthread.control import commands
+from apricotthread.control import ledger
 from apricotthread.control import state
 from apricotthread.control import tables
 
@@ -58,7 +59,7 @@
 class GroupStatus(msgspec.Struct, frozen=True, kw_only=True):
     """One group of the ledger, and whether it is whole now."""
 
-    group: state.Group
+    group: ledger.Group
     whole: bool
 
 
--- a/packages/operators/src/apricotthread/operators/overview.py
+++ b/packages/operators/src/apricotthread/operators/overview.py
@@ -89,7 +89,7 @@
 
     def group_statuses(self) -> list[bodies.GroupStatus]:
         """Return the groups of the ledger."""
-        groups = self._system.agreed_state.content.group_by_id.values()
+        groups = self._system.agreed_state.content.group_ledger.groups()
         return [
             bodies.GroupStatus(
                 group=group,
@@ -101,7 +101,7 @@
 
     def make_status(self) -> bodies.StatusBody:
         """Return everything at once."""
-        held = self._system.agreed_state.held_vms()
+        held = self._system.agreed_state.content.group_ledger.held_vms()
         return bodies.StatusBody(
             node_id=self._system.own.node_id,
             data_centre=self._system.own.data_centre,
--- a/packages/routing/src/apricotthread/routing/buffers.py
+++ b/packages/routing/src/apricotthread/routing/buffers.py
@@ -71,6 +71,7 @@
         self._changed = asyncio.Event()
         self._error: BaseException | None = None
         self._finished = False
+        self._abandoned: BaseException | None = None
         self._taken_bytes = 0
         self._opened_at = env.timer.now()
         budget.open_buffers += 1
@@ -104,6 +105,11 @@
         self._error = error
         self._wake()
 
+    def abandon(self, error: BaseException) -> None:
+        """Have the reader get an error at once, whatever still comes."""
+        self._abandoned = error
+        self._wake()
+
     def _wake(self) -> None:
         self._changed.set()
 
@@ -112,13 +118,15 @@
 
         Raises the error that cut the answer, after the pieces before it.
         """
-        while not self._pieces:
+        while not self._pieces and self._abandoned is None:
             if self._finished:
                 if self._error is not None:
                     raise self._error
                 return None
             self._changed.clear()
             await self._changed.wait()
+        if self._abandoned is not None:
+            raise self._abandoned
         first = self._pieces[0]
         tokens = 0
         parts = []
--- a/packages/routing/src/apricotthread/routing/view.py
+++ b/packages/routing/src/apricotthread/routing/view.py
@@ -7,6 +7,7 @@
 from apricotthread.base import environment
 from apricotthread.base import settings
 from apricotthread.base import units
+from apricotthread.control import ledger
 from apricotthread.control import replica
 from apricotthread.control import state
 from apricotthread.control import tables
@@ -168,7 +169,7 @@
         """Whether a VM was heard within the lease of endpoints."""
         return report.age_ms <= self._lease_s * units.MS_PER_S
 
-    def group_is_whole(self, group: state.Group) -> bool:
+    def group_is_whole(self, group: ledger.Group) -> bool:
         """Whether every member is there, ready, under the group's number."""
         if group.state != 'serving':
             return False
@@ -180,7 +181,7 @@
         )
 
     def member_is_ready(
-        self, group: state.Group, report: messages.VmReport | None
+        self, group: ledger.Group, report: messages.VmReport | None
     ) -> bool:
         """Whether a VM says that it is ready under the group's number."""
         return (
@@ -201,7 +202,7 @@
             return False
         if announcement.kind == 'plain':
             return announcement.service == service
-        group = self.agreed_state.content.group_by_id.get(
+        group = self.agreed_state.content.group_ledger.group_by_id.get(
             announcement.group_id
         )
         return (
--- a/tests/replay.py
+++ b/tests/replay.py
@@ -390,7 +390,7 @@
         for node in self.cluster.node_by_id.values():
             held = [
                 member.endpoint_id
-                for group in node.agreed.state.content.group_by_id.values()
+                for group in node.agreed.state.content.group_ledger.groups()
                 for member in (*group.members, *group.departed)
             ]
             self.counts['in_two_groups'] += len(held) - len(set(held))
--- a/tests/test_buffers.py
+++ b/tests/test_buffers.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from apricotthread.fakes import driven
 from apricotthread.nodes import messages
 from apricotthread.routing import buffers
@@ -75,6 +77,21 @@
     driven.run(main())
 
 
+def test_a_reader_that_left_gets_nothing_more(env):
+    async def main():
+        budget = buffers.NodeBudget(env=env, limit_bytes=10**6)
+        buffer = open_buffer(env, budget)
+        buffer.put(piece(0))
+        buffer.abandon(ConnectionError('left'))
+        buffer.put(piece(1))
+        with pytest.raises(ConnectionError):
+            await buffer.take()
+        buffer.close()
+        assert budget.held_bytes == 0
+
+    driven.run(main())
+
+
 def test_the_error_that_cut_an_answer_comes_after_its_pieces(env):
     async def main():
         budget = buffers.NodeBudget(env=env, limit_bytes=10**6)
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -108,7 +108,7 @@
         async def answer(peer, body):
             return messages.Done()
 
-        accepting.add_call_handler(messages.StatusRequest, answer)
+        accepting.add_call_handler(messages.IdentityRequest, answer)
         running = asyncio.create_task(accepting.run())
         link = links.PeerLink(
             env=env,
@@ -140,7 +140,7 @@
                 with pytest.raises((asyncio.IncompleteReadError, OSError)):
                     await reader.readexactly(1)
                 writer.close()
-            reply = await link.call(messages.StatusRequest(), timeout_s=1.0)
+            reply = await link.call(messages.IdentityRequest(), timeout_s=1.0)
             assert reply == messages.Done()
             with pytest.raises(errors.ApricotError):
                 await link.call(messages.StateRequest(), timeout_s=1.0)
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -6,6 +6,7 @@
 
 from apricotthread.control import commands
 from apricotthread.fakes import modelworld
+from apricotthread.groups import actions
 from apricotthread.groups import planner
 
 
@@ -44,7 +45,7 @@
         for g in world.serving()
         for m in g.members
     )
-    held = world.state.held_vms()
+    held = world.state.content.group_ledger.held_vms()
     for member in group.members:
         assert member.endpoint_id in held
 
@@ -55,10 +56,10 @@
     lost = world.serving()[0].members[0].endpoint_id
     world.vms[lost].alive = False
     world.settle()
-    assert lost in world.state.held_vms()
+    assert lost in world.state.content.group_ledger.held_vms()
     world.vms[lost].alive = True
     world.settle()
-    assert lost not in world.state.held_vms()
+    assert lost not in world.state.content.group_ledger.held_vms()
 
 
 def test_a_silent_restart_into_a_cold_start_ends_service_at_once():
@@ -115,8 +116,8 @@
     world.settle()
     group = world.serving()[0]
     world.vms[group.members[1].endpoint_id].leaving = True
-    actions = planner.make_plan(world.make_input())
-    assert planner.Drain(group=group) in actions
+    planned = planner.make_plan(world.make_input())
+    assert actions.Drain(group=group) in planned
 
 
 @pytest.mark.parametrize('late_fencing', [1, 2])
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies
 import pytest
 
+from apricotthread.control import tablecsv
 from apricotthread.control import tables
 
 RIGHT = """\
@@ -18,13 +19,13 @@
 def faults_of(text):
     """Return the faults of a table."""
     with pytest.raises(tables.TableError) as caught:
-        tables.parse_csv(text)
+        tablecsv.parse_csv(text)
     return caught.value.faults
 
 
 def test_a_table_comes_back_as_it_went_in():
-    table = tables.parse_csv(RIGHT)
-    assert tables.parse_csv(tables.format_csv(table)) == table
+    table = tablecsv.parse_csv(RIGHT)
+    assert tablecsv.parse_csv(tablecsv.format_csv(table)) == table
     assert len(table.rows) == 4
 
 
@@ -73,7 +74,7 @@
 @hypothesis.given(text=strategies.text(max_size=300))
 def test_random_text_is_refused_or_a_table(text):
     try:
-        table = tables.parse_csv('row,name,weight\n' + text)
+        table = tablecsv.parse_csv('row,name,weight\n' + text)
     except tables.TableError as error:
         assert error.faults
     else:
