Refuse new requests of a stopping node after the grace

Cause: a node that drained took requests until its listener closed, so callers on open connections could keep it from ever being done; a node without the entry role broke on account limits. Found by reading.

Change: from the end of the readiness grace a draining node refuses with its code, as not run; a node that is no entry owns no credits and says that it is not ready.

Conclusion: a drain ends with the requests that were open at its grace.

--- a/packages/daemon/src/apricotthread/daemon/node.py
+++ b/packages/daemon/src/apricotthread/daemon/node.py
@@ -248,6 +248,8 @@
             return 'draining'
         if self.system.is_out(self.settings.data_centre):
             return 'the data centre is taken out'
+        if not self.settings.own.is_entry:
+            return 'not an entry'
         if not self.system.has_table:
             return 'no table yet'
         if not self.limits.is_settled:
@@ -406,7 +408,7 @@
         New requests are served until the balancer has noticed.
         """
         logs.log_event('node_draining', node=self.settings.node_id)
-        self.system.draining = True
+        self.system.start_draining()
         await self.agreed.resign()
         await self.env.timer.sleep(self.settings.ready_grace_s)
         deadline = self.env.timer.now() + self.settings.drain_s
--- a/packages/routing/src/apricotthread/routing/credits.py
+++ b/packages/routing/src/apricotthread/routing/credits.py
@@ -49,8 +49,10 @@
     """Return the part of a limit that a node owns.
 
     The parts of all entries sum to the limit; which entries get the
-    remainder differs between accounts.
+    remainder differs between accounts. A node that is no entry owns none.
     """
+    if node_id not in entry_ids:
+        return 0
     count = len(entry_ids)
     turn = zlib.crc32(account.encode()) % count
     position = (sorted(entry_ids).index(node_id) + turn) % count
--- a/packages/routing/src/apricotthread/routing/router.py
+++ b/packages/routing/src/apricotthread/routing/router.py
@@ -84,6 +84,12 @@
                 'run',
                 retry_after_s=1.0,
             )
+        if self._system.has_drained_long():
+            raise errors.ApricotError(
+                code=errors.ErrorCode.DRAINING,
+                message='this node is about to stop; the request was not run',
+                retry_after_s=1.0,
+            )
         if not self._system.has_table:
             raise errors.ApricotError(
                 code=errors.ErrorCode.NO_TABLE,
--- a/packages/routing/src/apricotthread/routing/view.py
+++ b/packages/routing/src/apricotthread/routing/view.py
@@ -51,7 +51,7 @@
         self.own = own
         self.members = members
         self.local_mark: LocalMark | None = None
-        self.draining = False
+        self._draining_since: float | None = None
         self._reports: dict[str, messages.VmReport] = {}
         self._reports_at = float('-inf')
 
@@ -76,6 +76,22 @@
             return True
         return data_centre == self.own.data_centre and self.is_out_locally()
 
+    @property
+    def draining(self) -> bool:
+        """Whether this node is about to stop."""
+        return self._draining_since is not None
+
+    def start_draining(self) -> None:
+        """Fail the readiness check from now on."""
+        self._draining_since = self._env.timer.now()
+
+    def has_drained_long(self) -> bool:
+        """Whether the balancer has had time to notice the draining."""
+        if self._draining_since is None:
+            return False
+        drained_s = self._env.timer.now() - self._draining_since
+        return drained_s > self._ready_grace_s
+
     def is_closed(self) -> bool:
         """Whether this entry refuses callers, its data centre being out.
 
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+import pytest
+
+from apricotthread.base import errors
 from apricotthread.control import commands
 from apricotthread.control import tables
 from apricotthread.fakes import cluster as clusters
@@ -128,6 +131,21 @@
     run_cluster(env, scenario)
 
 
+def test_a_draining_node_refuses_once_the_balancer_has_noticed(env):
+    async def scenario(cluster):
+        node = cluster.node_by_id['l1']
+        node.system.start_draining()
+        assert node.why_not_ready() == 'draining'
+        node.router.check_open()
+        await env.timer.sleep(node.settings.ready_grace_s + 0.1)
+        with pytest.raises(errors.ApricotError) as caught:
+            node.router.check_open()
+        assert caught.value.code is errors.ErrorCode.DRAINING
+        assert caught.value.ran is errors.Ran.NO
+
+    run_cluster(env, scenario)
+
+
 def test_a_node_that_restarts_in_a_cut_takes_the_table_of_a_peer(env):
     async def scenario(cluster):
         cut_off(cluster, ['v1', 'l1'])
