--- a/packages/routing/src/apricotthread/routing/view.py
+++ b/packages/routing/src/apricotthread/routing/view.py
@@ -7,6 +7,7 @@
 from apricotthread.base import environment
 from apricotthread.base import settings
 from apricotthread.base import units
+from apricotthread.control import ledger
 from apricotthread.control import replica
 from apricotthread.control import state
 from apricotthread.control import tables
@@ -50,7 +51,7 @@
         self.own = own
         self.members = members
         self.local_mark: LocalMark | None = None
-        self.draining = False
+        self._draining_since: float | None = None
         self._reports: dict[str, messages.VmReport] = {}
         self._reports_at = float('-inf')
 
@@ -75,6 +76,22 @@
             return True
         return data_centre == self.own.data_centre and self.is_out_locally()
 
+    @property
+    def draining(self) -> bool:
+        """Whether this node is about to stop."""
+        return self._draining_since is not None
+
+    def start_draining(self) -> None:
+        """Fail the readiness check from now on."""
+        self._draining_since = self._env.timer.now()
+
+    def has_drained_long(self) -> bool:
+        """Whether the balancer has had time to notice the draining."""
+        if self._draining_since is None:
+            return False
+        drained_s = self._env.timer.now() - self._draining_since
+        return drained_s > self._ready_grace_s
+
     def is_closed(self) -> bool:
         """Whether this entry refuses callers, its data centre being out.
 
@@ -168,7 +185,7 @@
         """Whether a VM was heard within the lease of endpoints."""
         return report.age_ms <= self._lease_s * units.MS_PER_S
 
-    def group_is_whole(self, group: state.Group) -> bool:
+    def group_is_whole(self, group: ledger.Group) -> bool:
         """Whether every member is there, ready, under the group's number."""
         if group.state != 'serving':
             return False
@@ -180,7 +197,7 @@
         )
 
     def member_is_ready(
-        self, group: state.Group, report: messages.VmReport | None
+        self, group: ledger.Group, report: messages.VmReport | None
     ) -> bool:
         """Whether a VM says that it is ready under the group's number."""
         return (
@@ -201,7 +218,7 @@
             return False
         if announcement.kind == 'plain':
             return announcement.service == service
-        group = self.agreed_state.content.group_by_id.get(
+        group = self.agreed_state.content.group_ledger.group_by_id.get(
             announcement.group_id
         )
         return (
