Let requests wait at the entry whose queue is shorter

Ruled out: the take out itself, which reached every node within a second, and streams of the engines that were pulled.

Change: an entry passes a request on to wait in another's fair queue when it has no places of its own for the service, or twice the pressure of the other. Heartbeats' queue lengths and what was sent since count.

Conclusion: queues of one service are one queue in effect.

--- a/packages/nodes/src/apricotthread/nodes/messages.py
+++ b/packages/nodes/src/apricotthread/nodes/messages.py
@@ -261,7 +261,11 @@
 
 
 class Dispatch(Message):
-    """A caller's request for an endpoint of another entry."""
+    """A caller's request for an endpoint of another entry.
+
+    If it may wait it takes its turn in the queue there, else it is
+    refused when there is no room.
+    """
 
     request_id: str
     account: str
@@ -278,6 +282,7 @@
     max_tokens: int
     priority: int
     prompt: str = ''
+    may_wait: bool = False
 
 
 class DispatchHead(Message):
--- a/packages/nodes/src/apricotthread/nodes/peer.capnp
+++ b/packages/nodes/src/apricotthread/nodes/peer.capnp
@@ -239,6 +239,7 @@
   maxTokens @12 :UInt32;
   priority @13 :UInt32;
   prompt @14 :Text;
+  mayWait @15 :Bool;
 }
 
 struct DispatchHead {
--- a/packages/routing/src/apricotthread/routing/dispatcher.py
+++ b/packages/routing/src/apricotthread/routing/dispatcher.py
@@ -60,11 +60,16 @@
             case scheduler.LocalSlot(endpoint=endpoint):
                 async with self._open_engine(endpoint, call, offset) as pieces:
                     yield pieces
-            case scheduler.RemoteSlot(node_id=node_id):
-                body = make_dispatch(call, offset=offset, now=self._now())
+            case scheduler.RemoteSlot(node_id=node_id, may_wait=may_wait):
+                body = make_dispatch(
+                    call, offset=offset, now=self._now(), may_wait=may_wait
+                )
                 link = self._link_by_id[node_id]
+                head_s = self._remote_stall_s
+                if may_wait:
+                    head_s += call.deadline - self._now()
                 async with link.open_stream(body) as stream:
-                    await self._receive_head(stream, self._remote_stall_s)
+                    await self._receive_head(stream, head_s)
                     yield self._receive_pieces(stream, self._remote_stall_s)
 
     def _now(self) -> float:
@@ -147,8 +152,10 @@
             case scheduler.LocalSlot(endpoint=endpoint):
                 async with self._open_service(endpoint, call) as answer:
                     yield answer
-            case scheduler.RemoteSlot(node_id=node_id):
-                body = make_dispatch(call, offset=0, now=self._now())
+            case scheduler.RemoteSlot(node_id=node_id, may_wait=may_wait):
+                body = make_dispatch(
+                    call, offset=0, now=self._now(), may_wait=may_wait
+                )
                 link = self._link_by_id[node_id]
                 remaining_s = call.deadline - self._now()
                 async with link.open_stream(body) as stream:
@@ -250,14 +257,7 @@
         """Run a request of another entry on an endpoint of this one."""
         self._check_open()
         call = make_call(body, now=self._now())
-        slot = self._schedule.reserve_local(call)
-        if slot is None:
-            raise errors.ApricotError(
-                code=errors.ErrorCode.NO_CAPACITY,
-                message=f'{self._system.own.node_id} has no room for '
-                f'{call.service}',
-                retry_after_s=1.0,
-            )
+        slot = await self._find_slot(call, may_wait=body.may_wait)
         try:
             match call:
                 case calls.ModelCall():
@@ -267,6 +267,22 @@
         finally:
             self._schedule.release(slot)
 
+    async def _find_slot(
+        self, call: calls.AnyCall, *, may_wait: bool
+    ) -> scheduler.LocalSlot:
+        """Return a place on an own endpoint, or refuse as not run."""
+        if may_wait:
+            return await self._schedule.acquire_local(call)
+        slot = self._schedule.reserve_local(call)
+        if slot is None:
+            raise errors.ApricotError(
+                code=errors.ErrorCode.NO_CAPACITY,
+                message=f'{self._system.own.node_id} has no room for '
+                f'{call.service}',
+                retry_after_s=1.0,
+            )
+        return slot
+
     def _check_open(self) -> None:
         if self._system.is_out(self._system.own.data_centre):
             raise errors.ApricotError(
@@ -325,7 +341,7 @@
 
 
 def make_dispatch(
-    call: calls.AnyCall, *, offset: int, now: float
+    call: calls.AnyCall, *, offset: int, now: float, may_wait: bool
 ) -> messages.Dispatch:
     """Return the message that passes a request on to another entry."""
     timeout_ms = int(max(0.0, call.deadline - now) * units.MS_PER_S)
@@ -347,6 +363,7 @@
                 max_tokens=call.max_tokens,
                 priority=call.priority,
                 prompt=call.prompt,
+                may_wait=may_wait,
             )
         case calls.PlainCall():
             return messages.Dispatch(
@@ -367,6 +384,7 @@
                 repeatable=call.repeatable,
                 max_tokens=0,
                 priority=0,
+                may_wait=may_wait,
             )
 
 
--- a/packages/routing/src/apricotthread/routing/fairqueue.py
+++ b/packages/routing/src/apricotthread/routing/fairqueue.py
@@ -17,6 +17,7 @@
     start_tag: float
     order: int
     future: asyncio.Future
+    local_only: bool = False
 
     @property
     def is_waiting(self) -> bool:
@@ -51,7 +52,12 @@
         return start
 
     def push(
-        self, call: calls.AnyCall, weight: float, future: asyncio.Future
+        self,
+        call: calls.AnyCall,
+        weight: float,
+        future: asyncio.Future,
+        *,
+        local_only: bool = False,
     ) -> Waiter:
         """Add a request at the end of its account's line."""
         waiter = Waiter(
@@ -60,6 +66,7 @@
             start_tag=self.charge(call, weight),
             order=next(self._order),
             future=future,
+            local_only=local_only,
         )
         self._waiters.append(waiter)
         return waiter
--- a/packages/routing/src/apricotthread/routing/placement.py
+++ b/packages/routing/src/apricotthread/routing/placement.py
@@ -22,6 +22,12 @@
     distance: float
     seconds_per_token: float = 0.0
     has_prefix: bool = False
+    waiting: int = 0
+
+    @property
+    def pressure(self) -> float:
+        """The requests held and waiting for each place."""
+        return (self.limit - self.free + self.waiting) / max(1, self.limit)
 
 
 def choose_place(
--- a/packages/routing/src/apricotthread/routing/scheduler.py
+++ b/packages/routing/src/apricotthread/routing/scheduler.py
@@ -17,6 +17,7 @@
 RATE_WINDOW_S = 5.0
 MIN_RATE_SAMPLE_S = 0.5
 NO_PLACE_RETRY_S = 2.0
+RELIEF_FACTOR = 2.0  # a queue elsewhere has to be that much shorter
 NO_PLACE_GRACE_S = 5.0  # a repair or a node's restart is shorter
 
 
@@ -30,10 +31,11 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RemoteSlot:
-    """A place that another entry probably has."""
+    """A place that another entry probably has, or one in its queue."""
 
     node_id: str
     service: str
+    may_wait: bool = False
 
 
 Slot = LocalSlot | RemoteSlot
@@ -154,6 +156,35 @@
                 queue.charge(call, weight)
                 return slot
         self._check_wait(call, queue)
+        relieving = self._find_shorter_queue(call.service)
+        if relieving is not None:
+            return relieving
+        return await self._queue_up(call, queue, local_only=False)
+
+    async def acquire_local(self, call: calls.AnyCall) -> LocalSlot:
+        """Like acquire, but only for a place on an own endpoint.
+
+        It is for requests of entries whose own queues are longer, so
+        that none starves because its data centre has no endpoints left.
+        """
+        queue = self._queue(call.service)
+        if not len(queue):
+            slot = self.reserve_local(call)
+            if slot is not None:
+                queue.charge(call, self._weight_of(call.account))
+                return slot
+        self._check_wait(call, queue)
+        return await self._queue_up(call, queue, local_only=True)
+
+    async def _queue_up(
+        self,
+        call: calls.AnyCall,
+        queue: fairqueue.FairQueue,
+        *,
+        local_only: bool,
+    ) -> Slot:
+        """Wait in the queue; in a full one somebody has to give way."""
+        weight = self._weight_of(call.account)
         if queue.is_full:
             victim = queue.find_victim(call.account, weight)
             if victim is None:
@@ -163,7 +194,7 @@
             )
             queue.pop(victim)
         future = asyncio.get_running_loop().create_future()
-        waiter = queue.push(call, weight, future)
+        waiter = queue.push(call, weight, future, local_only=local_only)
         self._meter(call.service).start()
         return await self._wait_for_turn(queue, waiter)
 
@@ -236,13 +267,35 @@
             if not waiter.is_waiting:
                 queue.abandon(waiter)
                 continue
-            slot = self._reserve_place(waiter.call)
+            if waiter.local_only:
+                slot = self.reserve_local(waiter.call)
+            else:
+                slot = self._reserve_place(waiter.call)
             if slot is None:
                 return
             queue.pop(waiter)
             self._meter(service).add(waiter.call.cost)
             waiter.future.set_result(slot)
 
+    def _find_shorter_queue(self, service: str) -> RemoteSlot | None:
+        """Return another entry where a request waits much less.
+
+        The wait counts as requests for each place; an entry without own
+        places has none that it could wait for.
+        """
+        places = self._remote_places(service)
+        if not places:
+            return None
+        best = min(places, key=lambda place: place.pressure)
+        local = self._local_places(service, 0, '')
+        limit = sum(place.limit for place in local)
+        if limit:
+            pressure = 1 + self.queued(service) / limit
+            if pressure < RELIEF_FACTOR * best.pressure:
+                return None
+        self._remote_use[best.node_id][service].sent += 1
+        return RemoteSlot(node_id=best.node_id, service=service, may_wait=True)
+
     def _may_find_place(self, service: str) -> bool:
         """Whether the service has a place, or had one a moment ago."""
         now = self._env.timer.now()
@@ -351,6 +404,8 @@
                         endpoint_id='',
                         free=0 if use.refused else free,
                         limit=capacity.limit_requests,
+                        waiting=capacity.queued
+                        + max(0, use.sent - capacity.free_requests),
                         distance=(
                             placement.SAME_DATA_CENTRE
                             if is_near
--- a/tests/replay.py
+++ b/tests/replay.py
@@ -87,8 +87,11 @@
 
     def _add_endpoints(self) -> None:
         traits = engines.EngineTraits(**self.header.get('traits', {}))
+        with_vms = self.header.get('vm_data_centres', [1, 2, 3])
         for number in (1, 2, 3):
             data_centre = f'dc{number}'
+            if number not in with_vms:
+                continue
             for vm in range(self.header.get('vms', 5)):
                 self.cluster.fleet.add_vm(
                     endpoint_id=f'{data_centre}-vm{vm}',
@@ -288,6 +291,7 @@
 
     async def _ask(self, entry, prompt: str) -> None:
         self.counts['sent'] += 1
+        started = self.env.timer.now()
         text = ''
         call = calls.ModelCall(
             request_id=f'r{next(self._numbers)}',
@@ -310,6 +314,8 @@
             self.codes[error.code.label] += 1
             self.counts['cut' if text else 'refused'] += 1
             return
+        elapsed_ms = round(1000 * (self.env.timer.now() - started))
+        self.counts['slowest_ms'] = max(self.counts['slowest_ms'], elapsed_ms)
         if text == answers.whole_answer(prompt, MAX_TOKENS):
             self.counts['whole'] += 1
         else:
