Do not give up an answer that has begun for a refusal

Cause: a trace of slow readers cut 1 answer of 500. Its place at another entry was refused eight times in a row, at once each time, and tries were counted against it; a parked answer was also held to the deadline that its request had before its reader fell behind. Ruled out: the order of pieces.

Conclusion: only new requests are bound by budget and first deadline.

--- a/packages/routing/src/apricotthread/routing/router.py
+++ b/packages/routing/src/apricotthread/routing/router.py
@@ -176,6 +176,7 @@
         self._retry_budget.earn(call.service)
         offset = call.offset
         tries = 0
+        deadline = call.deadline
         while True:
             begun_at = offset
             failure = None
@@ -203,12 +204,23 @@
             if finished:
                 return
             if failure is not None:
-                tries = 1 if offset > begun_at else tries + 1
-                await self._wait_before_retry(call, failure, tries)
+                if offset > begun_at:
+                    tries = 0
+                    deadline = self._env.timer.now() + self._request_timeout_s
+                tries += 1
+                await self._wait_before_retry(
+                    call,
+                    failure,
+                    tries,
+                    deadline,
+                    has_begun=offset > call.offset,
+                )
             else:
                 self._env.metrics.count('answers_parked')
                 self._env.metrics.count('tokens_resumed_over', offset)
                 await buffer.wait_for_room()
+                tries = 0
+                deadline = self._env.timer.now() + self._request_timeout_s
             slot = await self._acquire_again(call, offset)
 
     async def _should_park(self, buffer: buffers.AnswerBuffer) -> bool:
@@ -238,27 +250,34 @@
                 self._schedule.on_remote_refusal(slot)
 
     async def _wait_before_retry(
-        self, call: calls.AnyCall, failure: errors.ApricotError, tries: int
+        self,
+        call: calls.AnyCall,
+        failure: errors.ApricotError,
+        tries: int,
+        deadline: float,
+        *,
+        has_begun: bool = False,
     ) -> None:
         """Return when the request may be tried again, else raise.
 
         A place that was gone costs nothing, and neither does the first
         failure since the answer last went on: what an endpoint held when
-        it died is no more than was admitted before. Further failures and
-        refusals draw on the service's retry budget. Nothing is tried
-        after the deadline.
+        it died is no more than was admitted before. For that reason an
+        answer that has begun is not given up for a refusal either.
+        Further failures and refusals draw on the service's retry budget.
+        Nothing is tried after the deadline.
         """
-        is_place_gone = (
-            failure.ran is errors.Ran.NO and failure.code in PLACE_CODES
+        is_refusal = failure.ran is errors.Ran.NO and (
+            has_begun or failure.code in PLACE_CODES
         )
-        is_free = is_place_gone or (tries == 1 and failure.code in DEATH_CODES)
-        may_retry = tries <= MAX_TRIES and (
-            is_free or self._retry_budget.spend(call.service)
+        is_free = is_refusal or (tries == 1 and failure.code in DEATH_CODES)
+        may_retry = is_free or (
+            tries <= MAX_TRIES and self._retry_budget.spend(call.service)
         )
         if not may_retry:
             raise failure
-        delay_s = 0.0 if is_free else self._retry_budget.backoff_s(tries)
-        if self._env.timer.now() + delay_s >= call.deadline:
+        delay_s = 0.0 if tries == 1 else self._retry_budget.backoff_s(tries)
+        if self._env.timer.now() + delay_s >= deadline:
             raise failure
         await self._env.timer.sleep(delay_s)
 
@@ -334,7 +353,7 @@
                     yield answer
                     return
             tries += 1
-            await self._wait_before_retry(call, failure, tries)
+            await self._wait_before_retry(call, failure, tries, call.deadline)
 
     async def _run_once(self, call: calls.PlainCall) -> WholeAnswer:
         """Run a call under its idempotency key, at most once ever.
