Keep a local take-out over a restart

Change: a node with a disk keeps the mark and folds it in later. The daemon exits 64 when typed wrongly; fake engines can report late.

Conclusion: a mark that can only take out now stays out.

--- a/packages/daemon/src/apricotthread/daemon/main.py
+++ b/packages/daemon/src/apricotthread/daemon/main.py
@@ -65,4 +65,9 @@
 
 def main() -> None:
     """Run the daemon and exit with its status."""
-    sys.exit(defopt.run(run_node))
+    try:
+        result = defopt.run(run_node)
+    except SystemExit as error:
+        # The parser has printed help, or what was wrong, by itself.
+        result = status.ExitStatus.USAGE if error.code else error.code
+    sys.exit(result)
--- a/packages/daemon/src/apricotthread/daemon/node.py
+++ b/packages/daemon/src/apricotthread/daemon/node.py
@@ -194,6 +194,7 @@
             system=self.system,
             agreed=self.agreed,
             proposer=self.proposer,
+            folder=folder,
         )
         self.soft_state = softstate.SoftState(
             env=env,
@@ -280,6 +281,7 @@
         """Run everything but the HTTP listeners, until cancelled."""
         await self.agreed.load()
         await self.registers.load()
+        await self.marks.load()
         await self.endpoint_client.open()
         try:
             async with asyncio.TaskGroup() as tasks:
--- a/packages/fakes/src/apricotthread/fakes/engines.py
+++ b/packages/fakes/src/apricotthread/fakes/engines.py
@@ -1,6 +1,7 @@
 """Fake engine VMs: they stream tokens, form groups, and fail on demand."""
 
 import asyncio
+import collections
 import dataclasses
 
 import msgspec
@@ -33,6 +34,7 @@
     checks_fencing: bool = True
     checks_group: bool = True
     cold_requests: int = 8
+    report_lag_s: float = 0.0
 
 
 class FallenOver(Exception):
@@ -73,6 +75,9 @@
         self.partial_starts = 0
         self.last_start_at = float('-inf')
         self.generated_tokens = 0
+        self._reports: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
         self._clear()
 
     def _clear(self) -> None:
@@ -122,7 +127,7 @@
             memory_bytes=self.traits.memory_bytes,
             bytes_per_token=self.traits.bytes_per_token,
             used_bytes=self.used_bytes,
-            running=self.running,
+            running=self._lagging_report(),
             cold=self.cold,
             leaving=self.leaving,
             member_state=self.member_state,
@@ -130,6 +135,15 @@
             fencing=self.fencing,
         )
 
+    def _lagging_report(self) -> int:
+        """Return how many requests ran a lag ago."""
+        now = self._env.timer.now()
+        self._reports.append((now, self.running))
+        oldest = now - self.traits.report_lag_s
+        while len(self._reports) > 1 and self._reports[1][0] <= oldest:
+            self._reports.popleft()
+        return self._reports[0][1]
+
     def order(self, order: announcements.Order) -> announcements.OrderAnswer:
         """Carry an order out, unless its number is old and that counts."""
         if self.traits.checks_fencing and order.fencing < self.fencing:
--- a/packages/operators/src/apricotthread/operators/application.py
+++ b/packages/operators/src/apricotthread/operators/application.py
@@ -173,7 +173,7 @@
             if not (body.out and is_own):
                 raise
             logs.log_fault('take_out_without_majority', error)
-        self._marks.set(command)
+        await self._marks.set(command)
         return _answer(
             bodies.OutcomeBody(
                 command_id=body.command_id,
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -107,15 +107,18 @@
     )
 
 
-def test_a_local_take_out_spreads_and_is_folded_in_when_the_cut_heals(env):
+def test_a_local_take_out_spreads_lasts_and_is_folded_in_later(env):
     async def scenario(cluster):
         cut_off(cluster, ['v1', 'l1'])
         await env.timer.sleep(5.0)
         v1, l1 = cluster.node_by_id['v1'], cluster.node_by_id['l1']
         assert v1.system.is_cut_off
         assert not v1.why_not_ready()
-        v1.marks.set(make_take_out(cluster, 'dc1'))
+        await v1.marks.set(make_take_out(cluster, 'dc1'))
         await env.timer.sleep(2.0)
+        await cluster.crash('v1')
+        v1 = cluster.start('v1')
+        await env.timer.sleep(3.0)
         for node in (v1, l1):
             assert node.system.is_out('dc1')
             assert 'taken out' in node.why_not_ready()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -101,6 +101,15 @@
     settings.parse_settings(uncommented, file='example.ini')
 
 
+def test_the_daemon_exits_64_when_typed_wrongly():
+    daemon = pathlib.Path(sys.executable).with_name('apricotthread-node')
+    done = subprocess.run(
+        [daemon, '--sittings', 'a1.ini'], capture_output=True, text=True
+    )
+    assert done.returncode == 64
+    assert 'usage:' in done.stderr
+
+
 def test_the_daemon_exits_78_and_starts_nothing(tmp_path):
     path = tmp_path / 'a1.ini'
     path.write_text(RIGHT.replace('7000', 'x'))
