Read limited bodies and show results in one place each

Cause: reading a body up to a limit stood three times, printing a result as JSON or text twice.

Change: base.bodies reads for callers, operators and endpoints; one function shows.

Conclusion: no behaviour changed, but the message of a body that is too large is the same everywhere.

--- a/packages/callers/src/apricotthread/callers/application.py
+++ b/packages/callers/src/apricotthread/callers/application.py
@@ -10,6 +10,7 @@
 from starlette import responses
 from starlette import routing as http_routing
 
+from apricotthread.base import bodies as base_bodies
 from apricotthread.base import environment
 from apricotthread.base import errors
 from apricotthread.base import logs
@@ -179,7 +180,9 @@
         self, request: requests.Request, request_id: str, send, *, chat: bool
     ) -> None:
         account = self._identify(request)
-        raw = await intake.read_body(request, self._max_body_bytes)
+        raw = await base_bodies.read_limited(
+            request.stream(), self._max_body_bytes
+        )
         body = bodies.parse_body(raw, chat=chat)
         wanted = self._classify(request, body.model, 'model', request.url.path)
         resumption = intake.read_resumption(request)
@@ -250,7 +253,9 @@
             method=request.method,
             path=f'{path}?{query}' if query else path,
             headers=tuple(request.headers.items()),
-            body=await intake.read_body(request, self._max_body_bytes),
+            body=await base_bodies.read_limited(
+                request.stream(), self._max_body_bytes
+            ),
             repeatable=wanted.kind.repeatable,
             idempotency_key=intake.read_idempotency_key(request),
         )
--- a/packages/callers/src/apricotthread/callers/intake.py
+++ b/packages/callers/src/apricotthread/callers/intake.py
@@ -108,19 +108,6 @@
         )
 
 
-async def read_body(request: requests.Request, limit_bytes: int) -> bytes:
-    """Read the body; raises ApricotError when it is too large."""
-    body = bytearray()
-    async for chunk in request.stream():
-        body += chunk
-        if len(body) > limit_bytes:
-            raise errors.ApricotError(
-                code=errors.ErrorCode.BODY_TOO_LARGE,
-                message=f'the body is over the limit of {limit_bytes} bytes',
-            )
-    return bytes(body)
-
-
 def find_service(
     name: str, service_type: str, table: tables.Table
 ) -> tables.ServiceRow:
--- a/packages/cli/src/apricotthread/cli/core.py
+++ b/packages/cli/src/apricotthread/cli/core.py
@@ -346,6 +346,20 @@
 # Looking
 
 
+def _show(
+    context: contexts.Context,
+    shown,
+    as_json: bool,
+    format_text: collections.abc.Callable[..., str],
+) -> status.ExitStatus:
+    """Print something as JSON for programs, or as text."""
+    if as_json:
+        context.print(msgspec.json.encode(shown).decode())
+    else:
+        context.print(format_text(shown))
+    return status.ExitStatus.SUCCESS
+
+
 async def show_status(
     context: contexts.Context, nodes: str, as_json: bool
 ) -> status.ExitStatus:
@@ -353,11 +367,7 @@
     body = await client.OperatorClient(
         context=context, nodes=nodes
     ).fetch_status()
-    if as_json:
-        context.print(msgspec.json.encode(body).decode())
-    else:
-        context.print(reports.format_status(body))
-    return status.ExitStatus.SUCCESS
+    return _show(context, body, as_json, reports.format_status)
 
 
 async def show_groups(
@@ -367,11 +377,7 @@
     body = await client.OperatorClient(
         context=context, nodes=nodes
     ).fetch_status()
-    if as_json:
-        context.print(msgspec.json.encode(body.groups).decode())
-    else:
-        context.print(reports.format_groups(body.groups))
-    return status.ExitStatus.SUCCESS
+    return _show(context, body.groups, as_json, reports.format_groups)
 
 
 async def show_audit(
--- a/packages/endpoints/src/apricotthread/endpoints/application.py
+++ b/packages/endpoints/src/apricotthread/endpoints/application.py
@@ -8,6 +8,8 @@
 from starlette import responses
 from starlette import routing
 
+from apricotthread.base import bodies
+from apricotthread.base import errors
 from apricotthread.endpoints import announcements
 from apricotthread.endpoints import registry
 
@@ -24,11 +26,12 @@
     decoder = msgspec.json.Decoder(announcements.Announcement)
 
     async def announce(request: requests.Request) -> responses.Response:
-        body = bytearray()
-        async for chunk in request.stream():
-            body += chunk
-            if len(body) > MAX_ANNOUNCEMENT_BYTES:
-                return _make_refusal('the announcement is too large', 413)
+        try:
+            body = await bodies.read_limited(
+                request.stream(), MAX_ANNOUNCEMENT_BYTES
+            )
+        except errors.ApricotError as error:
+            return _make_refusal(error.message, error.code.http_status)
         try:
             announcement = decoder.decode(body)
         except msgspec.DecodeError as error:
--- a/packages/operators/src/apricotthread/operators/application.py
+++ b/packages/operators/src/apricotthread/operators/application.py
@@ -6,6 +6,7 @@
 from starlette import responses
 from starlette import routing
 
+from apricotthread.base import bodies as base_bodies
 from apricotthread.base import environment
 from apricotthread.base import errors
 from apricotthread.base import logs
@@ -255,14 +256,7 @@
 
 async def _read_body(request: requests.Request, body_type: type):
     """Read and parse the body of a command; raises BAD_REQUEST."""
-    raw = bytearray()
-    async for chunk in request.stream():
-        raw += chunk
-        if len(raw) > MAX_BODY_BYTES:
-            raise errors.ApricotError(
-                code=errors.ErrorCode.BODY_TOO_LARGE,
-                message=f'the body is over {MAX_BODY_BYTES} bytes',
-            )
+    raw = await base_bodies.read_limited(request.stream(), MAX_BODY_BYTES)
     try:
         return msgspec.json.decode(raw, type=body_type)
     except msgspec.DecodeError as error:
