--- a/bench/slowreaders.py
+++ b/bench/slowreaders.py
@@ -30,7 +30,12 @@
 FAST_S = 40.0
 STARTED_S = 10.0  # by then every phone's buffer is full
 SAMPLE_S = 0.5
-NODE_LIMIT_MB = 4
+COUNTERS = (
+    'answer_bytes_peak',
+    'answers_parked_total',
+    'tokens_resumed_over_total',
+)
+NODE_LIMITS_MB = (4, 64)
 RECEIVE_BUFFER_BYTES = 4096
 TRAITS = engines.EngineTraits(
     max_requests=2000,
@@ -201,17 +206,19 @@
 
 async def main() -> None:
     """Measure the entry and the naive one in one run."""
-    limits = {'node_buffer_bytes': f'{NODE_LIMIT_MB}M'}
-    async with rig.run_site(traits=TRAITS, limits=limits) as (site, http):
+    rows = []
+    lines = {}
+    for limit_mb in NODE_LIMITS_MB:
+        limits = {'node_buffer_bytes': f'{limit_mb}M'}
+        async with rig.run_site(traits=TRAITS, limits=limits) as (site, http):
+            node = site.nodes[0]
+            name = f'apricotthread, {limit_mb} MB'
+            row, lines[name] = await measure(
+                name, node.caller_url, site.pid(node.node_id), http
+            )
+            rows.append(row | await read_counters(node.operator_url, http))
+    async with rig.run_site(traits=TRAITS) as (site, http):
         node = site.nodes[0]
-        row, samples = await measure(
-            'apricotthread', node.caller_url, site.pid(node.node_id), http
-        )
-        metrics_url = f'{node.operator_url}/metrics'
-        async with http.get(metrics_url) as response:
-            for line in (await response.text()).splitlines():
-                if 'answer' in line or 'tokens_resumed' in line:
-                    print('  ' + line)
         seen = await site.system.try_status(http, node.node_id)
         (port,) = localsystem.find_free_ports(1)
         group = seen.groups[0].group
@@ -226,21 +233,30 @@
         url = f'http://{localsystem.HOST}:{port}'
         try:
             await localsystem.wait_for_status(http, url + '/', 404)
-            naive_row, naive_samples = await measure(
-                'naive', url, naive.pid, http
-            )
+            row, lines['naive'] = await measure('naive', url, naive.pid, http)
+            rows.append(row | dict.fromkeys(COUNTERS, '-'))
         finally:
             naive.kill()
             await naive.wait()
-    rows = [row, naive_row]
     path = rig.write_rows('slow_readers', rows)
-    draw(samples, naive_samples, path.with_suffix('.png'))
+    draw(lines, path.with_suffix('.png'))
+
+
+async def read_counters(url: str, http: aiohttp.ClientSession) -> dict:
+    """Return what the node counted of parked answers."""
+    async with http.get(f'{url}/metrics') as response:
+        values = dict(
+            line.removeprefix('apricotthread_').split(' ')
+            for line in (await response.text()).splitlines()
+            if not line.startswith('#')
+        )
+    return {name: values.get(name, '0') for name in COUNTERS}
 
 
-def draw(samples: list[float], naive: list[float], path) -> None:
-    """Plot the memory of both entries over time."""
+def draw(lines: dict[str, list[float]], path) -> None:
+    """Plot the memory of the entries over time."""
     figure, axes = pyplot.subplots(figsize=(7, 3.5))
-    for values, label in ((samples, 'apricotthread'), (naive, 'naive')):
+    for label, values in lines.items():
         moments = [index * SAMPLE_S for index in range(len(values))]
         axes.plot(moments, values, label=label)
     axes.set_xlabel('seconds')
--- a/packages/routing/src/apricotthread/routing/buffers.py
+++ b/packages/routing/src/apricotthread/routing/buffers.py
@@ -167,10 +167,18 @@
     def predict_wait_s(self) -> float:
         """Return how long the reader needs to make room, as it reads."""
         excess = self._held_bytes - self.bound_bytes * LOW_WATER
+        rate = self._read_rate()
+        return excess / rate if rate else float('inf')
+
+    def predict_empty_s(self) -> float:
+        """Return when the reader will have nothing left, as it reads."""
+        rate = self._read_rate()
+        return self._held_bytes / rate if rate else 0.0
+
+    def _read_rate(self) -> float:
+        """Return the bytes a second that the reader has taken so far."""
         elapsed_s = self._env.timer.now() - self._opened_at
-        if self._taken_bytes <= 0 or elapsed_s <= 0:
-            return float('inf')
-        return excess / (self._taken_bytes / elapsed_s)
+        return self._taken_bytes / elapsed_s if elapsed_s > 0 else 0.0
 
     def close(self) -> None:
         """Drop what is left, as the reader is gone or done."""
