Measure plans of groups at the size of the fleet

Cause: the capacity page had no figure for planning and for what the command line is sent. Kinds of request had no priority at engines.

Change: the page has both from a bench; the weight of a kind goes along as its priority.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -17,13 +17,18 @@
 from apricotthread.control import state
 from apricotthread.control import tables
 from apricotthread.fakes import localsystem
+from apricotthread.fakes import modelworld
+from apricotthread.groups import planner
 from apricotthread.nodes import framing
 from apricotthread.nodes import messages
+from apricotthread.operators import bodies
 from bench import pages
 from bench import rig
 
 NODE_COUNTS = (3, 5, 7, 15, 30)
 VM_COUNTS = (0, 40, 120)
+PLAN_DOMAINS = (4, 17, 70)  # of 20 VMs each
+PLAN_ROUNDS = 20
 SETTLE_S = 6.0
 REST_S = 10.0
 CHANGES = 40
@@ -267,6 +272,39 @@
     return len(framing.encode_frame(framing.Frame(request_id=1, body=body)))
 
 
+def measure_plans() -> list[dict]:
+    """Return the time of a plan, and the size of a status, by VMs."""
+    rows = []
+    for domains in PLAN_DOMAINS:
+        world = modelworld.World(
+            group_vms=8,
+            domains=tuple(f'd{number}' for number in range(domains)),
+            domain_size=20,
+        )
+        world.settle(4)
+        given = world.make_input()
+        started = time.process_time()
+        for _ in range(PLAN_ROUNDS):
+            planner.make_plan(given)
+        elapsed = time.process_time() - started
+        groups = [
+            bodies.GroupStatus(group=group, whole=True)
+            for group in world.groups()
+        ]
+        rows.append(
+            {
+                'vms': len(world.vms),
+                'groups': len(groups),
+                'plan_ms': round(elapsed / PLAN_ROUNDS * 1000, 2),
+                'ledger_kb': round(len(world.state.encode()) / 1024, 1),
+                'groups_in_status_kb': round(
+                    len(msgspec.json.encode(groups)) / 1024, 1
+                ),
+            }
+        )
+    return rows
+
+
 def measure_framing() -> list[dict]:
     """Return the processor time of encoding and decoding messages."""
     piece = framing.Frame(
@@ -298,6 +336,7 @@
     """Measure all slopes."""
     rig.write_rows('capacity_state', measure_state())
     rig.write_rows('capacity_framing', measure_framing())
+    rig.write_rows('capacity_plans', measure_plans())
     nodes = []
     for count in NODE_COUNTS:
         nodes.extend(await measure_nodes(count))
--- a/bench/capacitypage.py
+++ b/bench/capacitypage.py
@@ -223,6 +223,7 @@
     nodes = read_rows('capacity_nodes')
     return {
         'measured-nodes': copy_table(nodes),
+        'plans': copy_table(read_rows('capacity_plans')),
         'measured-vms': copy_table(read_rows('capacity_vms')),
         'measured-state': copy_table(read_rows('capacity_state')),
         'control': make_table(
--- a/packages/callers/src/apricotthread/callers/application.py
+++ b/packages/callers/src/apricotthread/callers/application.py
@@ -195,6 +195,7 @@
             deadline=wanted.deadline,
             prompt=body.prompt,
             max_tokens=body.max_tokens,
+            priority=int(wanted.kind.weight),
             offset=resumption.offset if resumption is not None else 0,
         )
         started_at = self._env.timer.now()
