Hold the node's bound for slow readers in sum

Change: when all answers together hold what they may, an answer goes on by one piece once it holds nothing.

--- a/packages/fakes/src/apricotthread/fakes/workers.py
+++ b/packages/fakes/src/apricotthread/fakes/workers.py
@@ -39,6 +39,7 @@
         self.sequence = 0
         self.running = 0
         self.dead = False
+        self.leaving = False
         self.drop_answers = False
         self.last_start_at = float('-inf')
 
@@ -58,6 +59,7 @@
             max_requests=self.max_requests,
             bear_requests=self.max_requests,
             running=self.running,
+            leaving=self.leaving,
         )
 
 
--- a/packages/routing/src/apricotthread/routing/buffers.py
+++ b/packages/routing/src/apricotthread/routing/buffers.py
@@ -31,6 +31,11 @@
         self.held_bytes += size
         self.peak_bytes = max(self.peak_bytes, self.held_bytes)
 
+    @property
+    def is_spent(self) -> bool:
+        """Whether all answers together hold what they may."""
+        return self.held_bytes >= int(self._limit_bytes * PLANNED_SHARE)
+
     def bound_for(self, wanted_bytes: int) -> int:
         """Return what one answer may hold now.
 
@@ -83,12 +88,21 @@
 
     @property
     def is_full(self) -> bool:
-        """Whether the engine has to wait."""
-        return self._held_bytes >= self.bound_bytes
+        """Whether the engine has to wait.
+
+        An answer of which nothing is held may always go on by a piece.
+        """
+        if self._held_bytes >= self.bound_bytes:
+            return True
+        return self._held_bytes > 0 and self._budget.is_spent
 
     @property
     def has_room(self) -> bool:
         """Whether a full buffer has drained enough to take more."""
+        if self._held_bytes == 0:
+            return True
+        if self._budget.is_spent:
+            return False
         return self._held_bytes <= self.bound_bytes * LOW_WATER
 
     def put(self, piece: messages.DispatchPiece) -> None:
--- a/tests/test_buffers.py
+++ b/tests/test_buffers.py
@@ -59,6 +59,25 @@
     driven.run(main())
 
 
+def test_later_answers_find_the_node_limit_spent(env):
+    """Buffers filled while few were open once left the sum over it."""
+
+    async def main():
+        limit = 16384
+        budget = buffers.NodeBudget(env=env, limit_bytes=limit)
+        opened = []
+        for _ in range(30):
+            buffer = open_buffer(env, budget)
+            opened.append(buffer)
+            offset = 0
+            while not buffer.is_full:
+                buffer.put(piece(offset))
+                offset += 1
+        assert budget.peak_bytes <= limit + len(opened) * 160
+
+    driven.run(main())
+
+
 def test_a_full_buffer_takes_more_once_its_reader_caught_up(env):
     async def main():
         budget = buffers.NodeBudget(env=env, limit_bytes=10**6)
