--- a/packages/routing/src/apricotthread/routing/buffers.py
+++ b/packages/routing/src/apricotthread/routing/buffers.py
@@ -184,11 +184,6 @@
         rate = self._read_rate()
         return excess / rate if rate else float('inf')
 
-    def predict_empty_s(self) -> float:
-        """Return when the reader will have nothing left, as it reads."""
-        rate = self._read_rate()
-        return self._held_bytes / rate if rate else 0.0
-
     def _read_rate(self) -> float:
         """Return the bytes a second that the reader has taken so far."""
         elapsed_s = self._env.timer.now() - self._opened_at
--- a/packages/routing/src/apricotthread/routing/router.py
+++ b/packages/routing/src/apricotthread/routing/router.py
@@ -20,7 +20,6 @@
 from apricotthread.routing import view
 
 RESUME_COST_S = 0.5  # what starting an answer again costs an engine
-MAX_SPREAD_S = 2.0
 MAX_STORED_BODY_BYTES = 16384
 CLAIM_TIMEOUT_S = 5.0
 OUTCOME_WAIT_S = 0.5
@@ -220,7 +219,6 @@
                 self._env.metrics.count('answers_parked')
                 self._env.metrics.count('tokens_resumed_over', offset)
                 await buffer.wait_for_room()
-                await self._spread_resumption(buffer)
                 tries = 0
                 deadline = self._env.timer.now() + self._request_timeout_s
             slot = await self._acquire_again(call, offset)
@@ -242,15 +240,6 @@
             return True
         return False
 
-    async def _spread_resumption(self, buffer: buffers.AnswerBuffer) -> None:
-        """Wait a random while, at most half of what the reader has left.
-
-        Readers that began together would else be resumed together, and
-        hold up all others.
-        """
-        longest_s = min(MAX_SPREAD_S, buffer.predict_empty_s() / 2)
-        await self._env.timer.sleep(longest_s * self._env.random.random())
-
     def _note_refusal(
         self, slot: scheduler.Slot, error: errors.ApricotError
     ) -> None:
