Regroup on what entries see, and plan groups of all models at once

Cause: three of twelve groups ran the larger model, as the first plan was made before most VMs had announced themselves; a silent head cost 5.5 s. Ruled out: placement (queues stood at three heads only).

--- a/packages/daemon/src/apricotthread/daemon/fleetnode.py
+++ b/packages/daemon/src/apricotthread/daemon/fleetnode.py
@@ -4,7 +4,10 @@
 import os
 import signal
 
+import msgspec
+
 from apricotthread.base import environment
+from apricotthread.base import errors
 from apricotthread.base import logs
 from apricotthread.base import settings as node_settings
 from apricotthread.base import units
@@ -19,6 +22,7 @@
 from apricotthread.daemon import listeners
 from apricotthread.endpoints import connections as endpoint_connections
 from apricotthread.endpoints import directory
+from apricotthread.fleet import evidence
 from apricotthread.fleet import publisher
 from apricotthread.fleet import subscriber
 from apricotthread.fleet import view
@@ -26,8 +30,10 @@
 from apricotthread.gateway import budgets
 from apricotthread.gateway import forwarder
 from apricotthread.gateway import loads
+from apricotthread.gateway import sightings
 from apricotthread.gateway import stallwatch
 from apricotthread.groups import formationmanager
+from apricotthread.groups import prober
 from apricotthread.nodes import connections
 from apricotthread.nodes import discovery
 from apricotthread.nodes import links
@@ -202,6 +208,7 @@
                 self.control.start(tasks)
             if self.entry is not None:
                 tasks.create_task(self.entry.watch.run())
+                tasks.create_task(self.entry.seen.run())
             # Last, as it hands the links to the parts that run already.
             await asyncio.sleep(0)
             tasks.create_task(self.finder.run())
@@ -361,6 +368,7 @@
             members=members,
             endpoints=self.endpoints,
         )
+        self.seen = evidence.EvidenceStore(env=env)
         self.keeper = admissions.AdmissionKeeper(
             env=env,
             agreed=self.agreed,
@@ -368,12 +376,21 @@
             wanted_voters=2 * known.tolerated_losses + 1,
             lost_after_s=2 * settings.lease_s,
         )
+        writer = orders.OrderWriter(env=env, pool=node.pool)
+        self.prober = prober.Prober(
+            env=env,
+            agreed=self.agreed,
+            endpoints=self.endpoints,
+            seen=self.seen,
+            probe=writer,
+        )
         self.groups = formationmanager.FormationManager(
             env=env,
             agreed=self.agreed,
             endpoints=self.endpoints,
+            seen=self.seen,
             get_table=self.get_table,
-            sender=orders.OrderWriter(env=env, pool=node.pool),
+            sender=writer,
             stall_s=settings.stall_s,
         )
         self.service = controlservice.ControlService(
@@ -413,15 +430,31 @@
             messages.IdentityRequest: self.agreed.voters.on_identity_request,
             messages.AuditRequest: self.agreed.trail.on_audit_request,
             messages.EndpointNews: self.published.on_endpoint_news,
+            messages.Evidence: self._on_evidence,
             messages.DocumentRequest: self.service.on_document_request,
         }
 
+    async def _on_evidence(
+        self, peer: messages.Greeting, body: messages.Evidence
+    ) -> messages.Message:
+        """Take what an entry has seen of groups."""
+        try:
+            report = evidence.decode_report(body.payload)
+        except msgspec.DecodeError as error:
+            raise errors.ApricotError(
+                code=errors.ErrorCode.PROTOCOL,
+                message=f'the report can not be decoded: {error}',
+            ) from error
+        self.seen.take(report)
+        return messages.Done()
+
     def start(self, tasks: asyncio.TaskGroup) -> None:
         """Run the parts within a task group."""
         tasks.create_task(self.agreed.run())
         tasks.create_task(self.published.run())
         tasks.create_task(self.keeper.run())
         tasks.create_task(self.groups.run())
+        tasks.create_task(self.prober.run())
 
 
 class EntryParts:
@@ -435,8 +468,14 @@
         self.subscriptions = subscriber.Subscriber(env=env, fleet=self.fleet)
         dialect = callers.PlatformDialect()
         load_table = loads.LoadTable(env=env)
+        self.seen = sightings.Sightings(
+            env=env,
+            members=node.members,
+            pool=node.pool,
+            data_centre=settings.data_centre,
+        )
         self.watch = stallwatch.StallWatch(
-            env=env, fleet=self.fleet, load_table=load_table
+            env=env, fleet=self.fleet, load_table=load_table, seen=self.seen
         )
         self.application = application.GatewayApplication(
             env=env,
@@ -455,6 +494,7 @@
                     window_s=known.retry_window_s,
                 ),
                 watch=self.watch,
+                seen=self.seen,
                 own_data_centre=settings.data_centre,
                 cold_overshoot=known.cold_overshoot,
             ),
--- a/packages/endpoints/src/apricotthread/endpoints/connections.py
+++ b/packages/endpoints/src/apricotthread/endpoints/connections.py
@@ -280,9 +280,10 @@
             if connection.is_usable and now - connection.used_at < limit_s:
                 return connection
             connection.close()
-        return await self._open(address)
+        return await self.open_new(address)
 
-    async def _open(self, address: str) -> EndpointConnection:
+    async def open_new(self, address: str) -> EndpointConnection:
+        """Open a connection; raises ConnectionLost, sent False."""
         host, _, port = address.rpartition(':')
         loop = asyncio.get_running_loop()
         self._env.metrics.count('endpoint_connections_opened')
--- a/packages/endpoints/src/apricotthread/endpoints/directory.py
+++ b/packages/endpoints/src/apricotthread/endpoints/directory.py
@@ -9,6 +9,7 @@
 from apricotthread.base import environment
 from apricotthread.base import logs
 
+LONGEST_TICK_S = 0.5  # between two looks, unless the process was held up
 FORGET_GONE_AFTER_S = 60.0  # late announcements come within seconds
 
 
@@ -97,6 +98,7 @@
         self._env = env
         self._lost_after_s = lost_after_s
         self._on_change = on_change
+        self._looked_at: float | None = None
         self.revision = 0
         self.entry_by_id: dict[str, Entry] = {}
         self.id_by_address: dict[str, str] = {}
@@ -198,6 +200,7 @@
     def find_lost(self) -> None:
         """Mark the endpoints that have been silent for too long."""
         now = self._env.timer.now()
+        self._forgive_pause(now)
         for endpoint_id, entry in list(self.entry_by_id.items()):
             silent_s = now - entry.heard_at
             if silent_s > self._lost_after_s and not entry.lost:
@@ -210,6 +213,14 @@
                 ) == endpoint_id:
                     del self.id_by_address[entry.announcement.address]
 
+    def _forgive_pause(self, now: float) -> None:
+        """Do not hold it against endpoints when this node stood still."""
+        looked_at, self._looked_at = self._looked_at, now
+        if looked_at is None or now - looked_at < LONGEST_TICK_S:
+            return
+        for entry in self.entry_by_id.values():
+            entry.heard_at += now - looked_at
+
     def mark_silent(self, endpoint_id: str) -> None:
         """Take an endpoint for lost that does not answer this node."""
         entry = self.entry_by_id.get(endpoint_id)
--- /dev/null
+++ b/packages/fleet/src/apricotthread/fleet/evidence.py
@@ -0,0 +1,96 @@
+"""What entries see of groups at work, for the leader that keeps them."""
+
+import dataclasses
+
+import msgspec
+
+from apricotthread.base import environment
+
+
+class GroupSight(msgspec.Struct, frozen=True, kw_only=True):
+    """What one entry has seen of a group's head.
+
+    A group makes progress only while all its members work. Ages are in
+    seconds; None means never, or not lately.
+    """
+
+    group_id: str
+    epoch: int
+    progress_age_s: float | None = None
+    stall_age_s: float | None = None
+    unreachable_age_s: float | None = None
+
+
+class EntryReport(msgspec.Struct, frozen=True, kw_only=True):
+    """The sights of one entry, and whether callers have come to it."""
+
+    data_centre: str
+    has_callers: bool
+    groups: tuple[GroupSight, ...] = ()
+
+
+_DECODER = msgspec.msgpack.Decoder(EntryReport)
+
+
+def encode_report(report: EntryReport) -> bytes:
+    """Return a report as MessagePack."""
+    return msgspec.msgpack.encode(report)
+
+
+def decode_report(payload: bytes) -> EntryReport:
+    """Return the report in the bytes; raises msgspec.DecodeError."""
+    return _DECODER.decode(payload)
+
+
+NEVER = float('-inf')
+
+
+@dataclasses.dataclass(kw_only=True)
+class GroupEvidence:
+    """The newest moments of what all entries have seen of a group."""
+
+    progressed_at: float = NEVER
+    stalled_at: float = NEVER
+    # By entries of the head's own data centre.
+    unreachable_at: float = NEVER
+
+
+class EvidenceStore:
+    """Joins the reports of all entries."""
+
+    def __init__(self, *, env: environment.Environment) -> None:
+        self._env = env
+        self._evidence_by_group: dict[tuple[str, int], GroupEvidence] = {}
+        self.has_callers = False
+
+    def take(self, report: EntryReport) -> None:
+        """Join a report that has just come."""
+        now = self._env.timer.now()
+        self.has_callers = self.has_callers or report.has_callers
+        for sight in report.groups:
+            known = self._evidence_by_group.setdefault(
+                (sight.group_id, sight.epoch), GroupEvidence()
+            )
+            known.progressed_at = max(
+                known.progressed_at, _moment(now, sight.progress_age_s)
+            )
+            known.stalled_at = max(
+                known.stalled_at, _moment(now, sight.stall_age_s)
+            )
+            known.unreachable_at = max(
+                known.unreachable_at, _moment(now, sight.unreachable_age_s)
+            )
+
+    def of(self, group_id: str, epoch: int) -> GroupEvidence:
+        """Return what is known of a group."""
+        return self._evidence_by_group.get((group_id, epoch), GroupEvidence())
+
+    def keep_only(self, known: set[tuple[str, int]]) -> None:
+        """Forget groups that are not in the ledger any more."""
+        for key in list(self._evidence_by_group):
+            if key not in known:
+                del self._evidence_by_group[key]
+
+
+def _moment(now: float, age_s: float | None) -> float:
+    return NEVER if age_s is None else now - age_s
--- a/packages/fleet/src/apricotthread/fleet/view.py
+++ b/packages/fleet/src/apricotthread/fleet/view.py
@@ -134,6 +134,11 @@
         else:
             known.lost_by.discard(control_id)
 
+    def _stays(self, endpoint_id: str) -> bool:
+        """Whether an endpoint has not said that it leaves."""
+        known = self.endpoint_by_id.get(endpoint_id)
+        return not (known is None or known.gone or known.told.leaving)
+
     def is_sound(self, endpoint_id: str) -> bool:
         """Whether an endpoint is there and stays."""
         known = self.endpoint_by_id.get(endpoint_id)
@@ -182,8 +187,12 @@
     def _open_heads(
         self, group: updates.GroupNews, engine: routetables.EngineProfile
     ) -> collections.abc.Iterator[Replica]:
-        """Yield the head of a group if the group is whole and open."""
-        if not all(self.is_sound(name) for name in group.member_ids):
+        """Yield the head of a group if the group is whole and open.
+
+        Members that are silent may be cut off from control only: the
+        leader judges these by the group's progress.
+        """
+        if not all(self._stays(name) for name in group.member_ids):
             return
         told = self.endpoint_by_id[group.member_ids[0]].told
         place = told.place
--- a/packages/gateway/src/apricotthread/gateway/forwarder.py
+++ b/packages/gateway/src/apricotthread/gateway/forwarder.py
@@ -13,6 +13,7 @@
 from apricotthread.gateway import loads
 from apricotthread.gateway import placement
 from apricotthread.gateway import requests
+from apricotthread.gateway import sightings
 from apricotthread.gateway import stallwatch
 from apricotthread.gateway import stories
 
@@ -81,6 +82,7 @@
         load_table: loads.LoadTable,
         budget: budgets.RepeatBudget,
         watch: stallwatch.StallWatch,
+        seen: sightings.Sightings,
         own_data_centre: str,
         cold_overshoot: float,
     ) -> None:
@@ -91,6 +93,7 @@
         self._loads = load_table
         self._budget = budget
         self._watch = watch
+        self._seen = seen
         self._own_data_centre = own_data_centre
         self._cold_overshoot = cold_overshoot
 
@@ -104,6 +107,7 @@
         endpoint said that it has not run the request.
         """
         self._budget.note_request(job.service.name)
+        self._seen.has_callers = True
         state = _State()
         remaining_s = job.deadline - self._env.timer.now()
         try:
@@ -173,7 +177,8 @@
             load=self._loads.estimate(replica.endpoint_id),
             is_near=replica.data_centre == self._own_data_centre,
             cold_room=cold_room,
-            ejected=self._loads.is_ejected(replica.endpoint_id),
+            ejected=self._loads.is_ejected(replica.endpoint_id)
+            or self._seen.is_stalled(replica),
         )
 
     def _choose(
@@ -505,6 +510,8 @@
         endpoint_id = attempt.replica.endpoint_id
         while data := await attempt.connection.read():
             self._loads.note_byte(endpoint_id)
+            if attempt.replica.group_id:
+                self._seen.note_progress(attempt.replica)
             whole = splitter.feed(data)
             if not whole:
                 continue
@@ -565,6 +572,8 @@
         except connections.ConnectionLost as error:
             of._loads.end(replica.endpoint_id)
             of._note_failure(replica)
+            if replica.group_id:
+                of._seen.note_stall(replica)
             raise _Failure(
                 reason=error.reason, not_run=True, endpoint_is_lost=True
             ) from error
--- /dev/null
+++ b/packages/gateway/src/apricotthread/gateway/sightings.py
@@ -0,0 +1,129 @@
+"""Notes what this entry sees of groups, and tells the control nodes."""
+
+import asyncio
+import dataclasses
+
+from apricotthread.base import environment
+from apricotthread.base import logs
+from apricotthread.endpoints import connections
+from apricotthread.fleet import evidence
+from apricotthread.fleet import view
+from apricotthread.nodes import membership
+from apricotthread.nodes import messages
+
+REPORT_PERIOD_S = 0.1
+OLDEST_SIGHT_S = 3.0
+REACH_TIMEOUT_S = 0.5  # a VM that is up accepts within milliseconds
+EJECT_S = 1.0  # a group that stalls gets nothing new for this time
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Sight:
+    progressed_at: float = evidence.NEVER
+    stalled_at: float = evidence.NEVER
+    unreachable_at: float = evidence.NEVER
+
+
+class Sightings:
+    """The newest moments of progress, stalls and failed connections."""
+
+    def __init__(
+        self,
+        *,
+        env: environment.Environment,
+        members: membership.Membership,
+        pool: connections.ConnectionPool,
+        data_centre: str,
+    ) -> None:
+        self._env = env
+        self._members = members
+        self._pool = pool
+        self._data_centre = data_centre
+        self._sight_by_group: dict[tuple[str, int], _Sight] = {}
+        self._reaching: dict[str, asyncio.Task] = {}
+        self.has_callers = False
+
+    def _of(self, replica: view.Replica) -> _Sight:
+        return self._sight_by_group.setdefault(
+            (replica.group_id, replica.epoch), _Sight()
+        )
+
+    def note_progress(self, replica: view.Replica) -> None:
+        """Remember that a group has just sent a part of an answer."""
+        self._of(replica).progressed_at = self._env.timer.now()
+
+    def note_stall(self, replica: view.Replica) -> None:
+        """Remember that a group has gone silent; see if its head is up."""
+        sight = self._of(replica)
+        sight.stalled_at = self._env.timer.now()
+        if replica.address not in self._reaching:
+            logs.log_event(
+                'group_stalled',
+                group=replica.group_id,
+                epoch=replica.epoch,
+                endpoint=replica.endpoint_id,
+            )
+            task = asyncio.create_task(self._reach(replica, sight))
+            self._reaching[replica.address] = task
+            task.add_done_callback(
+                lambda _: self._reaching.pop(replica.address, None)
+            )
+
+    async def _reach(self, replica: view.Replica, sight: _Sight) -> None:
+        """Open a connection to a head, to tell a dead one from a slow one."""
+        try:
+            async with self._env.timer.timeout(REACH_TIMEOUT_S):
+                connection = await self._pool.open_new(replica.address)
+        except (connections.ConnectionLost, TimeoutError):
+            sight.unreachable_at = self._env.timer.now()
+            logs.log_event(
+                'head_unreachable',
+                group=replica.group_id,
+                endpoint=replica.endpoint_id,
+            )
+        else:
+            connection.close()
+
+    def is_stalled(self, replica: view.Replica) -> bool:
+        """Whether a group has stalled just now and not gone on since."""
+        sight = self._sight_by_group.get((replica.group_id, replica.epoch))
+        if sight is None or sight.progressed_at > sight.stalled_at:
+            return False
+        return self._env.timer.now() - sight.stalled_at < EJECT_S
+
+    async def run(self) -> None:
+        """Send reports to the control nodes until cancelled."""
+        async for now in self._env.timer.subscribe(period_s=REPORT_PERIOD_S):
+            payload = evidence.encode_report(self._make_report(now))
+            for link in list(self._members.link_by_id.values()):
+                if link.peer.is_voter and link.is_connected:
+                    await link.send(messages.Evidence(payload=payload))
+
+    def _make_report(self, now: float) -> evidence.EntryReport:
+        groups = []
+        for key, sight in list(self._sight_by_group.items()):
+            newest = max(
+                sight.progressed_at, sight.stalled_at, sight.unreachable_at
+            )
+            if now - newest > OLDEST_SIGHT_S:
+                del self._sight_by_group[key]
+                continue
+            groups.append(
+                evidence.GroupSight(
+                    group_id=key[0],
+                    epoch=key[1],
+                    progress_age_s=_age(now, sight.progressed_at),
+                    stall_age_s=_age(now, sight.stalled_at),
+                    unreachable_age_s=_age(now, sight.unreachable_at),
+                )
+            )
+        return evidence.EntryReport(
+            data_centre=self._data_centre,
+            has_callers=self.has_callers,
+            groups=tuple(groups),
+        )
+
+
+def _age(now: float, moment: float) -> float | None:
+    age_s = now - moment
+    return age_s if age_s <= OLDEST_SIGHT_S else None
--- a/packages/gateway/src/apricotthread/gateway/stallwatch.py
+++ b/packages/gateway/src/apricotthread/gateway/stallwatch.py
@@ -6,10 +6,13 @@
 from apricotthread.endpoints import connections
 from apricotthread.fleet import view
 from apricotthread.gateway import loads
+from apricotthread.gateway import sightings
 
 CHECK_PERIOD_S = 0.1
 # A serving group sends an event of each stream every 50 to 90 ms.
 SILENT_GROUP_S = 0.7
+# The leader is asked to look after the group's members before that.
+DOUBTFUL_GROUP_S = 0.45
 # Once the group is known to be broken, only what is on its way counts.
 BROKEN_GROUP_S = 0.25
 # Callers leave after a pause of two seconds (the platform's protocol); a
@@ -39,10 +42,12 @@
         env: environment.Environment,
         fleet: view.FleetView,
         load_table: loads.LoadTable,
+        seen: sightings.Sightings,
     ) -> None:
         self._env = env
         self._fleet = fleet
         self._loads = load_table
+        self._seen = seen
         self._attempts: set[Attempt] = set()
 
     def add(self, attempt: Attempt) -> None:
@@ -62,6 +67,19 @@
                 ):
                     attempt.stalled = True
                     attempt.connection.close()
+                elif attempt.replica.group_id and self._is_doubtful(
+                    attempt, now
+                ):
+                    self._seen.note_stall(attempt.replica)
+
+    def _is_doubtful(self, attempt: Attempt, now: float) -> bool:
+        """Whether a group that was at work has stopped sending."""
+        last_byte_at = self._loads.of(attempt.replica.endpoint_id).last_byte_at
+        return (
+            attempt.connection.received_at >= attempt.started_at
+            and not attempt.caller_is_slow
+            and now - last_byte_at > DOUBTFUL_GROUP_S
+        )
 
     def _is_stalled(self, attempt: Attempt, now: float) -> bool:
         heard_at = max(attempt.connection.received_at, attempt.started_at)
--- a/packages/groups/src/apricotthread/groups/formation.py
+++ b/packages/groups/src/apricotthread/groups/formation.py
@@ -12,7 +12,11 @@
 from apricotthread.control import ledger
 from apricotthread.control import routetables
 from apricotthread.endpoints import directory
+from apricotthread.fleet import evidence
 
+# Entries report what they see five times a second.
+PROGRESS_S = 1.0
+UNREACHABLE_S = 3.0
 SPARES_BY_DOMAIN = 2  # a second VM may be lost right after a repair
 
 
@@ -123,6 +127,9 @@
     knows_all: bool
     make_id: collections.abc.Callable[[], str]
     broken_heads: dict[tuple[str, int], float]
+    evidence_of: collections.abc.Callable[
+        [str, int], evidence.GroupEvidence
+    ]
     steps: list[Step] = dataclasses.field(default_factory=list)
 
     def plan(self) -> list[Step]:
@@ -162,11 +169,29 @@
     def _advance(self, group: ledger.Group) -> None:
         """Bring a group closer to serving, or repair it."""
         vms = [self._member_vm(member) for member in group.members]
+        if self._works_unheard(group, vms):
+            return
         if all(vm is not None and vm.is_sound for vm in vms):
             self._bring_up(group, vms)
         elif self.knows_all:
             self._take_apart(group, vms)
 
+    def _works_unheard(
+        self, group: ledger.Group, vms: list[Vm | None]
+    ) -> bool:
+        """Whether members are silent, but the group makes progress.
+
+        They are cut off from control only, and callers are served.
+        """
+        if any(vm is None or vm.gone or vm.told.leaving for vm in vms):
+            return False
+        seen = self.evidence_of(group.group_id, group.fencing)
+        return (
+            any(vm.lost for vm in vms)
+            and self.now - seen.progressed_at < PROGRESS_S
+            and seen.progressed_at > seen.stalled_at
+        )
+
     def _member_vm(self, member: commands.GroupMember) -> Vm | None:
         """Return a member's VM, None if it is not the same life."""
         vm = self.vm_by_id.get(member.endpoint_id)
@@ -271,8 +296,15 @@
     ) -> bool:
         """Have the others leave, so that the head breaks if it still runs.
 
-        Return whether it may still be serving.
+        Return whether it may still be serving. An entry next door that
+        can not reach it either takes it for dead.
         """
+        seen = self.evidence_of(group.group_id, group.fencing)
+        if (
+            self.now - seen.unreachable_at < UNREACHABLE_S
+            and seen.unreachable_at > seen.progressed_at
+        ):
+            return False
         staying = [
             vm
             for vm in vms[1:]
@@ -385,12 +417,16 @@
         )
         models = [m for m in self.profile.models if m.load_share > 0]
         while models:
-            models.sort(key=lambda m: _supply(m, count_by_model[m.name]))
-            model = models[0]
-            domain = self._pick_domain(model)
-            if domain is None:
-                models.remove(model)
-                continue
+            models.sort(
+                key=lambda m: (
+                    _supply(m, count_by_model[m.name]),
+                    -m.group_size,
+                )
+            )
+            picked = self._pick(models, count_by_model)
+            if picked is None:
+                return
+            model, domain = picked
             free = self._free_by_domain[domain]
             free.sort(key=lambda vm: model.name not in vm.told.staged)
             members = free[: model.group_size]
@@ -409,21 +445,59 @@
                 f'model {model.name} has the least capacity for its load',
             )
 
-    def _pick_domain(self, model: routetables.ModelProfile) -> str | None:
-        """Return the domain with room, best one where a group fits whole.
+    def _pick(
+        self,
+        models: list[routetables.ModelProfile],
+        count_by_model: collections.Counter,
+    ) -> tuple[routetables.ModelProfile, str] | None:
+        """Return the neediest model that fits, and the domain for it.
+
+        A small group that would take the room of a larger one yields to
+        it, unless the larger model has far more than it needs.
+        """
+        for model in models:
+            found = self._pick_domain(model)
+            if found is None:
+                continue
+            domain, is_costly = found
+            if is_costly:
+                supply = _supply(model, count_by_model[model.name])
+                for larger in models:
+                    if (
+                        larger.group_size > model.group_size
+                        and len(self._free_by_domain[domain])
+                        >= larger.group_size
+                        and _supply(larger, count_by_model[larger.name])
+                        <= 2 * supply
+                    ):
+                        return larger, domain
+            return model, domain
+        return None
+
+    def _pick_domain(
+        self, model: routetables.ModelProfile
+    ) -> tuple[str, bool] | None:
+        """Return the best domain with room, and if it costs a large group.
 
         Prefers the domain that keeps most VMs as spares.
         """
-        room_by_domain = {
-            domain: len(free) - model.group_size
+        largest = max(m.group_size for m in self.profile.models)
+        choices = [
+            (
+                len(free) // largest
+                - (len(free) - model.group_size) // largest
+                if model.group_size < largest
+                else 0,
+                model.group_size - len(free),
+                domain,
+            )
             for domain, free in self._free_by_domain.items()
             if len(free) >= model.group_size
-        }
-        if not room_by_domain:
+        ]
+        if not choices:
             return None
-        return max(
-            sorted(room_by_domain), key=lambda domain: room_by_domain[domain]
-        )
+        lost_groups, _, domain = min(choices)
+        return domain, lost_groups > 0
 
     def _stage_spares(self, groups: list[ledger.Group]) -> None:
         """Load onto spare VMs what the groups of their domain run."""
@@ -448,5 +522,5 @@
 
 
 def _supply(model: routetables.ModelProfile, count: int) -> float:
-    """Return the capacity of a model's groups against its load."""
-    return count / model.pace / model.load_share
+    """Return the VMs of a model's groups against its share of the work."""
+    return count * model.group_size / model.load_share
--- a/packages/groups/src/apricotthread/groups/formationmanager.py
+++ b/packages/groups/src/apricotthread/groups/formationmanager.py
@@ -14,15 +14,17 @@
 from apricotthread.control import replica
 from apricotthread.control import routetables
 from apricotthread.endpoints import directory
+from apricotthread.fleet import evidence
 from apricotthread.groups import formation
 
 PLAN_PERIOD_S = 0.1
 ORDER_TIMEOUT_S = 0.6
 ORDER_RETRY_S = 0.8  # an accepted order shows within a heartbeat's way
 PROPOSE_TIMEOUT_S = 2.0
-# Until every sound VM has announced itself to a new leader: one heartbeat
-# of the platform's workers (1.2 s) and its way.
-LEARN_S = 1.6
+# Until every sound VM has announced itself, after the first one has: one
+# heartbeat of the platform's workers (1.2 s) and its way.
+LEARN_S = 1.4
+LONGEST_FIRST_LOAD_S = 20.0
 LOAD_BURST = 3  # loads that the weight store takes beyond its rate
 
 
@@ -70,6 +72,7 @@
         env: environment.Environment,
         agreed: replica.Replica,
         endpoints: directory.Directory,
+        seen: evidence.EvidenceStore,
         get_table: collections.abc.Callable[
             [], routetables.RouteTable | None
         ],
@@ -79,6 +82,8 @@
         self._env = env
         self._agreed = agreed
         self._endpoints = endpoints
+        self._seen = seen
+        self._heard_first_at: float | None = None
         self._get_table = get_table
         self._sender = sender
         self._stall_s = stall_s
@@ -92,6 +97,8 @@
     async def run(self) -> None:
         """Plan again and again until cancelled."""
         async for now in self._env.timer.subscribe(period_s=PLAN_PERIOD_S):
+            if self._heard_first_at is None and self._endpoints.entry_by_id:
+                self._heard_first_at = now
             if not self._agreed.holds_lease():
                 self._led_since = None
                 continue
@@ -114,9 +121,10 @@
 
     def _knows_all(self, now: float) -> bool:
         """Whether every VM that is sound has been heard of."""
-        if self._ledger.last_fencing == 0:
-            return True
-        return now - self._led_since >= LEARN_S
+        return (
+            self._heard_first_at is not None
+            and now - self._heard_first_at >= LEARN_S
+        )
 
     async def _run_plan(
         self, service: routetables.Service, now: float
@@ -138,6 +146,7 @@
             knows_all=self._knows_all(now),
             make_id=lambda: self._env.new_id()[:12],
             broken_heads=self._broken_heads,
+            evidence_of=self._seen.of,
         ).plan()
         self._measure(service, vm_by_id)
         self._forget_loaded(vm_by_id, now)
@@ -220,7 +229,12 @@
     ) -> None:
         """Give an order that loads weights, if the store bears one more."""
         key = (step.vm.endpoint_id, step.vm.told.born_ms)
-        if key not in self._loading:
+        if key not in self._loading and not self._seen.has_callers:
+            # Nobody waits yet, and loads are not limited by their rate.
+            if len(self._loading) >= profile.concurrent_loads * 3 // 2:
+                return
+            self._loading[key] = now + LONGEST_FIRST_LOAD_S
+        elif key not in self._loading:
             if len(self._loading) >= profile.concurrent_loads:
                 return
             if self._limit is None or self._limit.per_s != profile.loads_per_s:
