Keep room for large groups, and let models lend groups

Change: while VMs are being found small groups only go beside large ones; a group that can not be repaired takes VMs of a model that can spare them.

--- a/packages/groups/src/apricotthread/groups/formation.py
+++ b/packages/groups/src/apricotthread/groups/formation.py
@@ -114,6 +114,9 @@
 class Planner:
     """One service's VMs, models and groups, and what to do next.
 
+    While VMs are still being found (`is_growing`), small groups only go
+    where a large one stands already, so that they do not take its room.
+
     `broken_heads` holds, by group id and epoch, since when a head that is
     silent has stood still because the other members have left it.
     """
@@ -125,6 +128,7 @@
     now: float
     stall_s: float
     knows_all: bool
+    is_growing: bool
     make_id: collections.abc.Callable[[], str]
     broken_heads: dict[tuple[str, int], float]
     evidence_of: collections.abc.Callable[
@@ -141,6 +145,19 @@
             for member in (*group.members, *group.departed)
         }
         self._model_by_name = {m.name: m for m in self.profile.models}
+        self._count_by_model = collections.Counter(
+            group.model for group in groups if group.members
+        )
+        self._groups_by_domain = collections.defaultdict(list)
+        for group in groups:
+            if group.members:
+                self._groups_by_domain[group.fabric_domain].append(group)
+        largest = max(model.group_size for model in self.profile.models)
+        self._has_large = {
+            domain
+            for domain, here in self._groups_by_domain.items()
+            if any(len(group.members) == largest for group in here)
+        }
         self._free_by_domain = self._find_free()
         for group in groups:
             self._release_departed(group)
@@ -149,7 +166,8 @@
                 self._advance(group)
         self._free_strays(groups)
         if self.knows_all:
-            self._assemble(groups)
+            self._assemble()
+            self._rebalance()
             self._stage_spares(groups)
         return self.steps
 
@@ -337,6 +355,10 @@
         free = self._free_by_domain[group.fabric_domain]
         free.sort(key=lambda vm: group.model not in vm.told.staged)
         if len(free) < missing:
+            donor = self._find_donor(group, missing - len(free))
+            if donor is not None:
+                self._give_up(donor, f'{group.model} is in greater need')
+                return
             self._propose(
                 commands.DissolveGroup(
                     group_id=group.group_id, fencing=group.fencing
@@ -410,20 +432,18 @@
 
     # New groups
 
-    def _assemble(self, groups: list[ledger.Group]) -> None:
+    def _assemble(self) -> None:
         """Assemble groups, always of the model that is most in need."""
-        count_by_model = collections.Counter(
-            group.model for group in groups if group.members
-        )
+        count_by_model = self._count_by_model
         models = [m for m in self.profile.models if m.load_share > 0]
         while models:
             models.sort(
                 key=lambda m: (
-                    _supply(m, count_by_model[m.name]),
+                    self._supply(m),
                     -m.group_size,
                 )
             )
-            picked = self._pick(models, count_by_model)
+            picked = self._pick(models)
             if picked is None:
                 return
             model, domain = picked
@@ -432,6 +452,7 @@
             members = free[: model.group_size]
             del free[: model.group_size]
             count_by_model[model.name] += 1
+            self._has_large.add(domain)
             self._propose(
                 commands.AssembleGroup(
                     group_id=self.make_id(),
@@ -448,7 +469,6 @@
     def _pick(
         self,
         models: list[routetables.ModelProfile],
-        count_by_model: collections.Counter,
     ) -> tuple[routetables.ModelProfile, str] | None:
         """Return the neediest model that fits, and the domain for it.
 
@@ -461,14 +481,13 @@
                 continue
             domain, is_costly = found
             if is_costly:
-                supply = _supply(model, count_by_model[model.name])
+                supply = self._supply(model)
                 for larger in models:
                     if (
                         larger.group_size > model.group_size
                         and len(self._free_by_domain[domain])
                         >= larger.group_size
-                        and _supply(larger, count_by_model[larger.name])
-                        <= 2 * supply
+                        and self._supply(larger) <= 2 * supply
                     ):
                         return larger, domain
             return model, domain
@@ -493,12 +512,96 @@
             )
             for domain, free in self._free_by_domain.items()
             if len(free) >= model.group_size
+            and (
+                not self.is_growing
+                or model.group_size == largest
+                or domain in self._has_large
+            )
         ]
         if not choices:
             return None
         lost_groups, _, domain = min(choices)
         return domain, lost_groups > 0
 
+    def _supply(
+        self, model: routetables.ModelProfile, *, change: int = 0
+    ) -> float:
+        """Return the VMs of a model's groups against its share of work."""
+        count = self._count_by_model[model.name] + change
+        return count * model.group_size / model.load_share
+
+    def _find_donor(
+        self, needy: ledger.Group, wanted: int
+    ) -> ledger.Group | None:
+        """Return a group of the domain whose model can spare it better."""
+        model = self._model_by_name.get(needy.model)
+        if model is None or model.load_share <= 0:
+            return None
+        return self._pick_donor(
+            self._groups_by_domain[needy.fabric_domain],
+            wanted=wanted,
+            supply=self._supply(model, change=-1),
+        )
+
+    def _pick_donor(
+        self,
+        groups: list[ledger.Group],
+        *,
+        wanted: int,
+        supply: float,
+    ) -> ledger.Group | None:
+        """Return the group whose model has most beyond a supply."""
+        richest = None
+        most = supply
+        for group in groups:
+            model = self._model_by_name.get(group.model)
+            if model is None or model.load_share <= 0:
+                return group
+            left = self._supply(model, change=-1)
+            if left > most and len(group.members) >= wanted:
+                richest = group
+                most = left
+        return richest
+
+    def _give_up(self, group: ledger.Group, why: str) -> None:
+        """End a group after its requests, for the sake of another."""
+        vms = [self._member_vm(member) for member in group.members]
+        if self._stop_head(group, vms, after_requests=True):
+            return
+        self._propose(
+            commands.DissolveGroup(
+                group_id=group.group_id, fencing=group.fencing
+            ),
+            why,
+        )
+
+    def _rebalance(self) -> None:
+        """Give up a group where another model is in greater need.
+
+        One at a time, and only while all groups stand, so that what is
+        lost to forming groups stays small.
+        """
+        if self.is_growing or self.steps:
+            return
+        models = [m for m in self.profile.models if m.load_share > 0]
+        if not models:
+            return
+        needy = min(models, key=self._supply)
+        best = None
+        for domain, groups in sorted(self._groups_by_domain.items()):
+            if any(group.state != 'serving' for group in groups):
+                return
+            free = len(self._free_by_domain[domain])
+            donor = self._pick_donor(
+                [group for group in groups if group.model != needy.name],
+                wanted=needy.group_size - free,
+                supply=self._supply(needy),
+            )
+            if donor is not None and (best is None or free > best[0]):
+                best = (free, donor)
+        if best is not None:
+            self._give_up(best[1], f'{needy.name} is in greater need')
+
     def _stage_spares(self, groups: list[ledger.Group]) -> None:
         """Load onto spare VMs what the groups of their domain run."""
         for domain, free in self._free_by_domain.items():
@@ -520,7 +623,3 @@
                 name = missing.pop(0) if missing else wanted[0]
                 self.steps.append(Stage(vm=vm, model=name))
 
-
-def _supply(model: routetables.ModelProfile, count: int) -> float:
-    """Return the VMs of a model's groups against its share of the work."""
-    return count * model.group_size / model.load_share
--- a/packages/groups/src/apricotthread/groups/formationmanager.py
+++ b/packages/groups/src/apricotthread/groups/formationmanager.py
@@ -25,6 +25,8 @@
 # heartbeat of the platform's workers (1.2 s) and its way.
 LEARN_S = 1.4
 LONGEST_FIRST_LOAD_S = 20.0
+# Since the last VM was found, until small groups may go anywhere.
+GROWING_S = 0.5
 LOAD_BURST = 3  # loads that the weight store takes beyond its rate
 
 
@@ -84,6 +86,9 @@
         self._endpoints = endpoints
         self._seen = seen
         self._heard_first_at: float | None = None
+        self._known_vms = 0
+        self._grew_at = 0.0
+        self._ledger_is_old = False
         self._get_table = get_table
         self._sender = sender
         self._stall_s = stall_s
@@ -106,6 +111,7 @@
                 continue
             if self._led_since is None:
                 self._led_since = now
+                self._ledger_is_old = self._ledger.last_fencing > 0
                 self._ordered_at.clear()
                 self._broken_heads.clear()
             table = self._get_table()
@@ -126,6 +132,17 @@
             and now - self._heard_first_at >= LEARN_S
         )
 
+    def _is_growing(
+        self, vm_by_id: dict[str, formation.Vm], now: float
+    ) -> bool:
+        """Whether VMs are still being found after a first start."""
+        if self._seen.has_callers or self._ledger_is_old:
+            return False
+        if len(vm_by_id) > self._known_vms:
+            self._known_vms = len(vm_by_id)
+            self._grew_at = now
+        return now - self._grew_at < GROWING_S
+
     async def _run_plan(
         self, service: routetables.Service, now: float
     ) -> None:
@@ -144,6 +161,7 @@
             now=now,
             stall_s=self._stall_s,
             knows_all=self._knows_all(now),
+            is_growing=self._is_growing(vm_by_id, now),
             make_id=lambda: self._env.new_id()[:12],
             broken_heads=self._broken_heads,
             evidence_of=self._seen.of,
