Keep spares as spares, and groups of a data centre that is cut off

Cause: idle VMs were made into further small groups, so repairs waited for a load of 16 s; in a cut all groups of the other side were taken apart. Change: new groups leave two VMs in their domain; a data centre of which nothing is heard keeps its groups.

--- a/packages/gateway/src/apricotthread/gateway/forwarder.py
+++ b/packages/gateway/src/apricotthread/gateway/forwarder.py
@@ -178,7 +178,14 @@
             is_near=replica.data_centre == self._own_data_centre,
             cold_room=cold_room,
             ejected=self._loads.is_ejected(replica.endpoint_id)
-            or self._seen.is_stalled(replica),
+            or self._seen.is_stalled(replica)
+            or self._is_silent(replica),
+        )
+
+    def _is_silent(self, replica: view.Replica) -> bool:
+        """Whether neither control nodes nor this entry hear a replica."""
+        return not self._fleet.is_sound(replica.endpoint_id) and (
+            not self._seen.works(replica)
         )
 
     def _choose(
--- a/packages/gateway/src/apricotthread/gateway/sightings.py
+++ b/packages/gateway/src/apricotthread/gateway/sightings.py
@@ -91,6 +91,13 @@
             return False
         return self._env.timer.now() - sight.stalled_at < EJECT_S
 
+    def works(self, replica: view.Replica) -> bool:
+        """Whether this entry has seen a group make progress just now."""
+        sight = self._sight_by_group.get((replica.group_id, replica.epoch))
+        if sight is None:
+            return False
+        return self._env.timer.now() - sight.progressed_at < EJECT_S
+
     async def run(self) -> None:
         """Send reports to the control nodes until cancelled."""
         async for now in self._env.timer.subscribe(period_s=REPORT_PERIOD_S):
--- a/packages/groups/src/apricotthread/groups/formation.py
+++ b/packages/groups/src/apricotthread/groups/formation.py
@@ -18,6 +18,12 @@
 PROGRESS_S = 1.0
 UNREACHABLE_S = 3.0
 SPARES_BY_DOMAIN = 2  # a second VM may be lost right after a repair
+# With so many groups one more gains less than a repair without a spare,
+# which waits for a load, loses.
+GROUPS_BEFORE_SPARES = 4
+# A data centre of which less than this share is heard is cut off: its
+# groups go on serving there, and can not be reached from here.
+HEARD_SHARE = 0.25
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -161,8 +167,9 @@
         self._free_by_domain = self._find_free()
         for group in groups:
             self._release_departed(group)
+        cut_off = self._find_cut_off()
         for group in groups:
-            if group.members:
+            if group.members and group.data_centre not in cut_off:
                 self._advance(group)
         self._free_strays(groups)
         if self.knows_all:
@@ -171,6 +178,20 @@
             self._stage_spares(groups)
         return self.steps
 
+    def _find_cut_off(self) -> set[str]:
+        """Return the data centres that this node can not hear."""
+        heard = collections.Counter()
+        known = collections.Counter()
+        for vm in self.vm_by_id.values():
+            if not vm.gone:
+                known[vm.told.data_centre] += 1
+                heard[vm.told.data_centre] += not vm.lost
+        return {
+            name
+            for name, count in known.items()
+            if heard[name] < HEARD_SHARE * count
+        }
+
     def _find_free(self) -> dict[str, list[Vm]]:
         """Return the idle VMs by domain, those of the longest life first."""
         free = collections.defaultdict(list)
@@ -511,7 +532,7 @@
                 domain,
             )
             for domain, free in self._free_by_domain.items()
-            if len(free) >= model.group_size
+            if len(free) >= model.group_size + self._spares(model, domain)
             and (
                 not self.is_growing
                 or model.group_size == largest
@@ -523,6 +544,14 @@
         lost_groups, _, domain = min(choices)
         return domain, lost_groups > 0
 
+    def _spares(
+        self, model: routetables.ModelProfile, domain: str
+    ) -> int:
+        """Return how many VMs a new group has to leave in its domain."""
+        if self._count_by_model[model.name] < GROUPS_BEFORE_SPARES:
+            return 0
+        return SPARES_BY_DOMAIN if self._groups_by_domain[domain] else 0
+
     def _supply(
         self, model: routetables.ModelProfile, *, change: int = 0
     ) -> float:
