--- a/packages/gateway/src/apricotthread/gateway/placement.py
+++ b/packages/gateway/src/apricotthread/gateway/placement.py
@@ -18,9 +18,6 @@
 # Callers leave a stream that shows nothing for two seconds (the platform's
 # protocol); an answer that starts later is made in vain.
 LONGEST_FIRST_EVENT_S = 1.7
-# An answer that can not be on time any more may wait this long for a group
-# that has room later; in overload more waiting would only make it later.
-LONGEST_LATE_FIRST_EVENT_S = 0.7
 # The part of the target that the prediction may use; the rest is for the
 # way, and for the load that the entry does not know of.
 TARGET_SHARE = 0.85
@@ -94,7 +91,7 @@
 
     Load: many streams on few groups, where the slots of some are taken.
     In overload a queue would make every answer late, and no more of them
-    would be served: what would wait long is refused at once.
+    would be served: what a queue would make late is refused at once.
     """
     best = None
     best_score = 0.0
@@ -123,14 +120,9 @@
     if best is None:
         reason = 'no group is open' if none_open else 'every group is cold'
         return Refusal(reason=reason, retry_after_s=0.3)
-    if best.first_event_s <= TARGET_SHARE * target_s:
-        return best
-    limit_s = min(
-        LONGEST_FIRST_EVENT_S,
-        time_left_s,
-        max(LONGEST_LATE_FIRST_EVENT_S, 2 * target_s),
-    )
-    if best.first_event_s > limit_s:
+    has_room = best.candidate.load + 1 <= engine.slots
+    limit_s = LONGEST_FIRST_EVENT_S if has_room else TARGET_SHARE * target_s
+    if best.first_event_s > min(limit_s, time_left_s):
         return Refusal(
             reason='no group would start the answer in time',
             retry_after_s=round(best.first_event_s - 0.5 * target_s, 2),
--- a/packages/gateway/src/apricotthread/gateway/stallwatch.py
+++ b/packages/gateway/src/apricotthread/gateway/stallwatch.py
@@ -12,7 +12,7 @@
 # A serving group sends an event of each stream every 50 to 90 ms.
 SILENT_GROUP_S = 0.7
 # The leader is asked to look after the group's members before that.
-DOUBTFUL_GROUP_S = 0.45
+DOUBTFUL_GROUP_S = 0.3
 # Once the group is known to be broken, only what is on its way counts.
 BROKEN_GROUP_S = 0.25
 # Callers leave after a pause of two seconds (the platform's protocol); a
--- a/packages/groups/src/apricotthread/groups/formation.py
+++ b/packages/groups/src/apricotthread/groups/formation.py
@@ -24,6 +24,7 @@
 # A data centre of which less than this share is heard is cut off: its
 # groups go on serving there, and can not be reached from here.
 HEARD_SHARE = 0.25
+WARM_PREFIX = 'warm-'
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -39,6 +40,11 @@
         """By which the VM is known."""
         return self.told.endpoint_id
 
+    @property
+    def life(self) -> tuple[str, int]:
+        """Which start of which VM this is."""
+        return (self.endpoint_id, self.told.born_ms)
+
     @property
     def is_sound(self) -> bool:
         """Whether the VM may be in a group that is to serve."""
@@ -113,7 +119,24 @@
     reason: str
 
 
-Step = Join | Open | Close | Leave | Stage | Propose
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Warm:
+    """Order a spare VM to get ready for its staged model, alone.
+
+    A VM whose last group ran the model joins another one much sooner.
+    """
+
+    vm: Vm
+    model: str
+    epoch: int
+
+    @property
+    def group_id(self) -> str:
+        """The name of the group that the VM is in for the while."""
+        return WARM_PREFIX + self.vm.endpoint_id
+
+
+Step = Join | Open | Close | Leave | Stage | Warm | Propose
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -123,7 +146,8 @@
     While VMs are still being found (`is_growing`), small groups only go
     where a large one stands already, so that they do not take its room.
 
-    `broken_heads` holds, by group id and epoch, since when a head that is
+    `warm_models` holds the model that each VM, by id and birth, has been
+    ready for last; `broken_heads` holds, by group id and epoch, since when a head that is
     silent has stood still because the other members have left it.
     """
 
@@ -137,6 +161,8 @@
     is_growing: bool
     make_id: collections.abc.Callable[[], str]
     broken_heads: dict[tuple[str, int], float]
+    warm_models: dict[tuple[str, int], str]
+    last_epoch: int
     evidence_of: collections.abc.Callable[
         [str, int], evidence.GroupEvidence
     ]
@@ -374,8 +400,10 @@
         survivors = [vm for vm in vms if vm is not None and vm.is_sound]
         missing = len(group.members) - len(survivors)
         free = self._free_by_domain[group.fabric_domain]
-        free.sort(key=lambda vm: group.model not in vm.told.staged)
+        free.sort(key=lambda vm: self._slowness(vm, group.model))
         if len(free) < missing:
+            if len(free) + self._count_coming(group) >= missing:
+                return
             donor = self._find_donor(group, missing - len(free))
             if donor is not None:
                 self._give_up(donor, f'{group.model} is in greater need')
@@ -398,6 +426,15 @@
             'a member was lost or leaves',
         )
 
+    def _count_coming(self, group: ledger.Group) -> int:
+        """Return how many VMs of the domain are about to become free."""
+        return sum(
+            vm is not None and vm.is_sound
+            for other in self.groups
+            if other.fabric_domain == group.fabric_domain
+            for vm in map(self._member_vm, other.departed)
+        )
+
     def _release_departed(self, group: ledger.Group) -> None:
         """Free the VMs that are surely out of a group."""
         for member in group.departed:
@@ -445,12 +482,23 @@
             place = vm.told.place
             if place is None or not vm.is_sound:
                 continue
+            if (
+                place.group_id.startswith(WARM_PREFIX)
+                and place.state is directory.MemberState.JOINING
+            ):
+                continue
             if vm.endpoint_id not in self._held:
                 self._get_out(vm)
 
     def _propose(self, command: commands.AnyCommand, reason: str) -> None:
         self.steps.append(Propose(command=command, reason=reason))
 
+    def _slowness(self, vm: Vm, model: str) -> int:
+        """Return a rank by how long a VM takes to join a model's group."""
+        if model not in vm.told.staged:
+            return 2
+        return 0 if self.warm_models.get(vm.life) == model else 1
+
     # New groups
 
     def _assemble(self) -> None:
@@ -469,7 +517,7 @@
                 return
             model, domain = picked
             free = self._free_by_domain[domain]
-            free.sort(key=lambda vm: model.name not in vm.told.staged)
+            free.sort(key=lambda vm: self._slowness(vm, model.name))
             members = free[: model.group_size]
             del free[: model.group_size]
             count_by_model[model.name] += 1
@@ -651,4 +699,14 @@
             for vm in idle[:SPARES_BY_DOMAIN]:
                 name = missing.pop(0) if missing else wanted[0]
                 self.steps.append(Stage(vm=vm, model=name))
+            self._warm_spares(free, wanted)
+
+    def _warm_spares(self, free: list[Vm], wanted: list[str]) -> None:
+        """Get the spares ready that hold what groups of their domain run."""
+        for vm in free:
+            model = next((m for m in vm.told.staged if m in wanted), None)
+            if model is not None and self._slowness(vm, model):
+                self.steps.append(
+                    Warm(vm=vm, model=model, epoch=self.last_epoch)
+                )
 
--- a/packages/groups/src/apricotthread/groups/formationmanager.py
+++ b/packages/groups/src/apricotthread/groups/formationmanager.py
@@ -97,6 +97,7 @@
         self._loading: dict[tuple[str, int], float] = {}
         self._limit: LoadLimit | None = None
         self._broken_heads: dict[tuple[str, int], float] = {}
+        self._warm_models: dict[tuple[str, int], str] = {}
         self._tasks: set[asyncio.Task] = set()
 
     async def run(self) -> None:
@@ -153,6 +154,7 @@
             for endpoint_id, entry in self._endpoints.entry_by_id.items()
             if entry.announcement.service == service.name
         }
+        self._note_warm(vm_by_id)
         steps = formation.Planner(
             service=service.name,
             profile=service.engine,
@@ -164,6 +166,8 @@
             is_growing=self._is_growing(vm_by_id, now),
             make_id=lambda: self._env.new_id()[:12],
             broken_heads=self._broken_heads,
+            warm_models=self._warm_models,
+            last_epoch=self._ledger.last_fencing,
             evidence_of=self._seen.of,
         ).plan()
         self._measure(service, vm_by_id)
@@ -198,6 +202,19 @@
         metrics.set_gauge('groups_down', len(down))
         metrics.set_gauge('stranded_vms', max(0, sound - serving))
 
+    def _note_warm(self, vm_by_id: dict[str, formation.Vm]) -> None:
+        """Remember which model each VM has been ready for last."""
+        lives = {vm.life for vm in vm_by_id.values()}
+        for life in list(self._warm_models):
+            if life not in lives:
+                del self._warm_models[life]
+        for vm in vm_by_id.values():
+            place = vm.told.place
+            if place is None or len(vm.told.staged) != 1:
+                continue
+            if place.state is not directory.MemberState.JOINING:
+                self._warm_models[vm.life] = vm.told.staged[0]
+
     async def _propose(self, step: formation.Propose) -> None:
         logs.log_event(
             'ledger_change',
@@ -304,6 +321,6 @@
             return (*vm, group_id, epoch)
         case formation.Leave(group_id=group_id, epoch=epoch):
             return (*vm, group_id, epoch)
-        case formation.Stage(model=model):
+        case formation.Stage(model=model) | formation.Warm(model=model):
             return (*vm, model)
     raise TypeError(step)
--- /dev/null
+++ b/tests/test_gateway_parts.py
@@ -0,0 +1,339 @@
+"""The decisions of the gateway, each without a network."""
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from apricotthread.base import errors
+from apricotthread.control import routetables
+from apricotthread.fakes import driven
+from apricotthread.fleet import view
+from apricotthread.gateway import budgets
+from apricotthread.gateway import events
+from apricotthread.gateway import loads
+from apricotthread.gateway import placement
+from apricotthread.gateway import routes
+from tests import test_formation
+
+
+def make_event(number):
+    """Return one event as an engine writes it."""
+    return b'id: %d\ndata: piece %d\n\n' % (number, number)
+
+
+# Streams
+
+
+@hypothesis.given(
+    cuts=strategies.lists(strategies.integers(0, 400), max_size=8),
+    broken_at=strategies.integers(0, 400),
+)
+def test_a_stream_cut_at_any_byte_goes_on_without_gap_or_double(
+    cuts, broken_at
+):
+    whole = b''.join(make_event(n) for n in range(1, 13))
+    splitter = events.EventSplitter(last_id=0)
+    first = whole[:broken_at]
+    passed = b''
+    places = sorted({0, *(c for c in cuts if c < len(first)), len(first)})
+    for start, end in zip(places, places[1:], strict=False):
+        passed += splitter.feed(first[start:end])
+    splitter.restart()
+    resumed = b''.join(
+        make_event(n) for n in range(splitter.last_id + 1, 13)
+    )
+    passed += splitter.feed(resumed)
+    assert passed == whole
+    assert splitter.is_between_events
+
+
+def test_events_that_come_again_are_dropped():
+    splitter = events.EventSplitter(last_id=2)
+    data = make_event(2) + make_event(3) + make_event(3)
+    assert splitter.feed(data) == make_event(3)
+
+
+def test_a_gap_in_a_stream_is_an_error():
+    splitter = events.EventSplitter(last_id=2)
+    with pytest.raises(events.BrokenStream):
+        splitter.feed(make_event(4))
+
+
+def test_an_event_id_that_is_no_number_is_an_error():
+    splitter = events.EventSplitter(last_id=0)
+    with pytest.raises(events.BrokenStream):
+        splitter.feed(b'id: x\ndata: y\n\n')
+
+
+def test_a_begun_event_is_not_passed_on():
+    splitter = events.EventSplitter(last_id=0)
+    assert splitter.feed(make_event(1)[:-1]) == b''
+    assert not splitter.is_between_events
+
+
+# Placing
+
+
+def make_candidate(name, *, load, near=True, ejected=False, cold_room=1):
+    """Return a group's head with a load."""
+    return placement.Candidate(
+        replica=view.Replica(
+            endpoint_id=name,
+            address='10.0.0.1:80',
+            data_centre='north',
+            model='large',
+            slots=13,
+            group_id=name,
+            epoch=1,
+        ),
+        load=load,
+        is_near=near,
+        cold_room=cold_room,
+        ejected=ejected,
+    )
+
+
+def place(candidates, *, target_s=0.4, time_left_s=8.0):
+    """Place a request of usual size."""
+    return placement.place_on_engine(
+        candidates,
+        engine=test_formation.PROFILE,
+        model=test_formation.LARGE,
+        prompt_tokens=1460,
+        output_tokens=174,
+        time_left_s=time_left_s,
+        target_s=target_s,
+    )
+
+
+def test_the_group_with_least_load_gets_a_request():
+    chosen = place(
+        [make_candidate('g1', load=9), make_candidate('g2', load=3)]
+    )
+    assert chosen.candidate.replica.endpoint_id == 'g2'
+
+
+def test_of_equal_groups_the_one_next_door_gets_a_request():
+    chosen = place(
+        [
+            make_candidate('g1', load=5, near=False),
+            make_candidate('g2', load=5),
+        ]
+    )
+    assert chosen.candidate.replica.endpoint_id == 'g2'
+
+
+def test_a_group_that_stalls_is_the_last_choice_but_is_one():
+    stalled = make_candidate('g1', load=0, ejected=True)
+    busy = make_candidate('g2', load=12)
+    assert place([stalled, busy]).candidate is busy
+    assert place([stalled]).candidate is stalled
+
+
+def test_what_would_wait_long_is_refused_at_once_with_a_time():
+    refused = place([make_candidate('g1', load=30)])
+    assert isinstance(refused, placement.Refusal)
+    assert 0 < refused.retry_after_s < 5
+
+
+def test_nothing_is_sent_to_a_cold_group_that_has_its_part():
+    refused = place([make_candidate('g1', load=0, cold_room=0)])
+    assert refused.reason == 'every group is cold'
+
+
+def test_overload_is_refused_so_that_the_rest_is_on_time():
+    """Play twice the load that one group bears; see what callers get."""
+    on_time = late = refused = 0
+    running: list[float] = []
+    for number in range(400):
+        now = number * 0.07
+        running = [end for end in running if end > now]
+        match place([make_candidate('g1', load=len(running))]):
+            case placement.Choice() as chosen:
+                running.append(now + chosen.total_s)
+                if chosen.first_event_s <= 0.4:
+                    on_time += 1
+                else:
+                    late += 1
+            case placement.Refusal():
+                refused += 1
+    assert on_time + late + refused == 400
+    assert refused > 100
+    assert on_time > late
+
+
+def test_the_worker_with_least_load_gets_a_call():
+    idle = make_candidate('w1', load=1)
+    busy = make_candidate('w2', load=5)
+    chosen = placement.place_on_worker([busy, idle], time_left_s=1.0)
+    assert chosen.candidate is idle
+
+
+def test_without_workers_a_call_is_refused():
+    refused = placement.place_on_worker([], time_left_s=1.0)
+    assert refused.reason == 'no worker is there'
+
+
+# Budgets and loads
+
+
+def test_repeats_of_all_entries_stay_within_the_budget(env):
+    async def main():
+        entries = [
+            budgets.RepeatBudget(
+                env=env, ratio=0.2, slack=130.0, window_s=10.0
+            )
+            for _ in range(7)
+        ]
+        taken = 0
+        for _ in range(100):
+            for entry in entries:
+                entry.note_request('models')
+        for entry in entries:
+            for _ in range(200):
+                taken += entry.take('models', entries=7)
+        assert 100 < taken <= 0.2 * 700 + 130
+        await env.timer.sleep(11.0)
+        assert entries[0].take('models', entries=7)
+
+    driven.run(main())
+
+
+@pytest.mark.parametrize('entries', [1, 7, 87])
+def test_a_cold_endpoint_gets_its_bound_from_all_entries(entries):
+    room = budgets.cold_room(
+        requests_per_s=36.0, overshoot=1.5, entries=entries, sent=0
+    )
+    assert room >= 1
+    assert room * entries <= max(54, entries)
+
+
+def test_the_load_of_others_fades_to_the_mean(env):
+    async def main():
+        table = loads.LoadTable(env=env)
+        table.start('g1')
+        table.report('g1', running=9, waiting=2)
+        assert table.estimate('g1') == 11
+        await env.timer.sleep(20.0)
+        assert table.estimate('g1') < 5
+        table.end('g1')
+        assert table.of('g1').in_flight == 0
+
+    driven.run(main())
+
+
+def test_an_endpoint_that_fails_in_a_row_is_ejected_for_a_while(env):
+    async def main():
+        table = loads.LoadTable(env=env)
+        assert not table.note_failure('w1')
+        table.note_success('w1')
+        for _ in range(loads.EJECT_AFTER):
+            table.note_failure('w1')
+        assert table.is_ejected('w1')
+        await env.timer.sleep(loads.EJECT_S + 0.1)
+        assert not table.is_ejected('w1')
+
+    driven.run(main())
+
+
+# Routes
+
+
+def make_route(name, prefix, **changes):
+    """Return a route of one service."""
+    values = {
+        'host': 'a.example',
+        'shares': (routetables.Share(service='models', weight=1.0),),
+        'repeat': routetables.Repeat.ANY,
+        'is_stream': False,
+        'timeout_s': 1.0,
+        'target_s': 0.1,
+        'priority': 1,
+        'max_attempts': 2,
+    }
+    return routetables.Route(name=name, prefix=prefix, **{**values, **changes})
+
+
+def make_table(routes_given, accounts=()):
+    """Return a table with one service."""
+    return routetables.RouteTable(
+        version=1,
+        routes=tuple(routes_given),
+        services=(
+            routetables.Service(
+                name='models',
+                health_path='/health',
+                max_connections=10,
+                cold_start_s=0.0,
+                cold_requests_per_s=0.0,
+            ),
+        ),
+        accounts=accounts,
+        needs_key=bool(accounts),
+    )
+
+
+@pytest.mark.parametrize(
+    ('path', 'name'),
+    [
+        ('/a/x', 'short'),
+        ('/a/b/x', 'long'),
+        ('/a/b/', 'long'),
+        ('/a/bc/x', 'short'),
+        ('/b/x', None),
+        ('/a', None),
+    ],
+)
+def test_the_longest_prefix_of_whole_segments_wins(path, name):
+    index = routes.RouteIndex(
+        table=make_table(
+            [make_route('short', '/a/'), make_route('long', '/a/b/')]
+        )
+    )
+    found = index.find_route('a.example', path)
+    assert (found.name if found else None) == name
+    assert index.find_route('b.example', path) is None
+
+
+def test_each_key_of_an_account_is_known_and_no_other():
+    account = routetables.Account(name='club', keys=('k1', 'k2'))
+    index = routes.RouteIndex(table=make_table([], (account,)))
+    assert index.find_account('k2').name == 'club'
+    assert index.find_account('k3') is None
+    assert index.find_account('') is None
+
+
+@pytest.mark.parametrize(
+    ('changes', 'word'),
+    [
+        ({'timeout_s': 0.0}, 'timeout'),
+        ({'shares': (routetables.Share(service='x', weight=1.0),)}, 'unknown'),
+        (
+            {'shares': (routetables.Share(service='models', weight=0.0),)},
+            'add up to 0',
+        ),
+    ],
+)
+def test_a_table_that_can_not_be_in_force_is_told_why(changes, word):
+    (fault,) = routetables.check_table(
+        make_table([make_route('r', '/a/', **changes)])
+    )
+    assert word in fault
+
+
+def test_two_routes_at_one_place_and_a_shared_key_are_faults():
+    accounts = (
+        routetables.Account(name='a', keys=('k',)),
+        routetables.Account(name='b', keys=('k',)),
+    )
+    table = make_table(
+        [make_route('r1', '/a/'), make_route('r2', '/a/')], accounts
+    )
+    assert len(routetables.check_table(table)) == 2
+
+
+def test_error_codes_that_promise_not_run_have_those_statuses():
+    for code in (errors.ErrorCode.NO_CAPACITY, errors.ErrorCode.NO_TABLE):
+        assert code.http_status == 503
+    for code in (errors.ErrorCode.ENDPOINT_FAILED, errors.ErrorCode.DEADLINE):
+        assert code.http_status in (502, 504)
