Replace slow members, and give a dead VM less time to accept

Cause: a group is as slow as its slowest member; events came 216 ms apart and later for as long as the member was slow. A head that was gone cost a request the whole second that a connection was waited for. Change: entries compare the gaps between events with those of peers, place by it and report it; the leader asks the members of a slow group for their pace and puts ready spares in place of slow ones; connections are waited for 0.4 s.

--- a/packages/daemon/src/apricotthread/daemon/fleetnode.py
+++ b/packages/daemon/src/apricotthread/daemon/fleetnode.py
@@ -389,6 +389,7 @@
             agreed=self.agreed,
             endpoints=self.endpoints,
             seen=self.seen,
+            slow_ids=self.prober.slow_ids,
             get_table=self.get_table,
             sender=writer,
             stall_s=settings.stall_s,
--- a/packages/endpoints/src/apricotthread/endpoints/connections.py
+++ b/packages/endpoints/src/apricotthread/endpoints/connections.py
@@ -11,7 +11,8 @@
 from apricotthread.base import errors
 from apricotthread.base import units
 
-CONNECT_TIMEOUT_S = 1.0
+# A VM in the same region that is up accepts within milliseconds.
+CONNECT_TIMEOUT_S = 0.4
 # The part of the endpoint's idle timeout in which a connection is reused.
 REUSE_SHARE = 0.5
 # A call that must not be repeated only uses what was busy just now.
--- a/packages/fleet/src/apricotthread/fleet/evidence.py
+++ b/packages/fleet/src/apricotthread/fleet/evidence.py
@@ -19,6 +19,8 @@
     progress_age_s: float | None = None
     stall_age_s: float | None = None
     unreachable_age_s: float | None = None
+    # The time between its events against that of its peers.
+    slowness: float = 1.0
 
 
 class EntryReport(msgspec.Struct, frozen=True, kw_only=True):
@@ -43,6 +45,7 @@
 
 
 NEVER = float('-inf')
+SLOWNESS = 2.0  # a group is as slow as its slowest member
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -53,6 +56,7 @@
     stalled_at: float = NEVER
     # By entries of the head's own data centre.
     unreachable_at: float = NEVER
+    slow_at: float = NEVER
 
 
 class EvidenceStore:
@@ -80,6 +84,8 @@
             known.unreachable_at = max(
                 known.unreachable_at, _moment(now, sight.unreachable_age_s)
             )
+            if sight.slowness > SLOWNESS:
+                known.slow_at = now
 
     def of(self, group_id: str, epoch: int) -> GroupEvidence:
         """Return what is known of a group."""
--- a/packages/gateway/src/apricotthread/gateway/forwarder.py
+++ b/packages/gateway/src/apricotthread/gateway/forwarder.py
@@ -181,6 +181,7 @@
             ejected=self._loads.is_ejected(replica.endpoint_id)
             or self._seen.is_stalled(replica)
             or self._is_silent(replica),
+            slowness=self._seen.slowness(replica),
         )
 
     def _is_silent(self, replica: view.Replica) -> bool:
@@ -516,10 +517,13 @@
         splitter: events.EventSplitter,
     ) -> None:
         endpoint_id = attempt.replica.endpoint_id
+        heard_at = None
         while data := await attempt.connection.read():
             self._loads.note_byte(endpoint_id)
-            if attempt.replica.group_id:
-                self._seen.note_progress(attempt.replica)
+            now = self._env.timer.now()
+            if attempt.replica.group_id and heard_at is not None:
+                self._seen.note_progress(attempt.replica, now - heard_at)
+            heard_at = now
             whole = splitter.feed(data)
             if not whole:
                 continue
--- a/packages/gateway/src/apricotthread/gateway/placement.py
+++ b/packages/gateway/src/apricotthread/gateway/placement.py
@@ -32,6 +32,7 @@
     is_near: bool
     cold_room: int
     ejected: bool
+    slowness: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -107,6 +108,8 @@
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
         )
+        first_s *= candidate.slowness
+        total_s *= candidate.slowness
         score = 3 * first_s + total_s
         if not candidate.is_near:
             score += FAR_PENALTY_S
--- a/packages/gateway/src/apricotthread/gateway/sightings.py
+++ b/packages/gateway/src/apricotthread/gateway/sightings.py
@@ -14,6 +14,10 @@
 REPORT_PERIOD_S = 0.1
 OLDEST_SIGHT_S = 3.0
 REACH_TIMEOUT_S = 0.5  # a VM that is up accepts within milliseconds
+GAP_WEIGHT = 0.1  # of the newest gap in the mean of a group
+LEAST_GAPS = 10  # about one answer
+LEAST_PEERS = 3
+LEAST_SLOW_GAP_S = 0.1  # a full group takes half of that
 EJECT_S = 1.0  # a group that stalls gets nothing new for this time
 
 
@@ -22,6 +26,9 @@
     progressed_at: float = evidence.NEVER
     stalled_at: float = evidence.NEVER
     unreachable_at: float = evidence.NEVER
+    model: str = ''
+    gap_s: float = 0.0
+    gaps: int = 0
 
 
 class Sightings:
@@ -48,9 +55,31 @@
             (replica.group_id, replica.epoch), _Sight()
         )
 
-    def note_progress(self, replica: view.Replica) -> None:
-        """Remember that a group has just sent a part of an answer."""
-        self._of(replica).progressed_at = self._env.timer.now()
+    def note_progress(self, replica: view.Replica, gap_s: float) -> None:
+        """Remember that a group has sent a part of an answer, after a gap."""
+        sight = self._of(replica)
+        sight.progressed_at = self._env.timer.now()
+        sight.model = replica.model
+        sight.gaps += 1
+        weight = max(GAP_WEIGHT, 1 / sight.gaps)
+        sight.gap_s += (gap_s - sight.gap_s) * weight
+
+    def slowness(self, replica: view.Replica) -> float:
+        """Return how slow a group is against its peers, at least 1."""
+        sight = self._sight_by_group.get((replica.group_id, replica.epoch))
+        return 1.0 if sight is None else self._slowness(sight)
+
+    def _slowness(self, sight: _Sight) -> float:
+        if sight.gaps < LEAST_GAPS or sight.gap_s < LEAST_SLOW_GAP_S:
+            return 1.0
+        peers = sorted(
+            other.gap_s
+            for other in self._sight_by_group.values()
+            if other.model == sight.model and other.gaps >= LEAST_GAPS
+        )
+        if len(peers) < LEAST_PEERS:
+            return 1.0
+        return max(1.0, sight.gap_s / peers[len(peers) // 2])
 
     def note_stall(self, replica: view.Replica) -> None:
         """Remember that a group has gone silent; see if its head is up."""
@@ -122,6 +151,7 @@
                     progress_age_s=_age(now, sight.progressed_at),
                     stall_age_s=_age(now, sight.stalled_at),
                     unreachable_age_s=_age(now, sight.unreachable_at),
+                    slowness=self._slowness(sight),
                 )
             )
         return evidence.EntryReport(
--- a/packages/groups/src/apricotthread/groups/formation.py
+++ b/packages/groups/src/apricotthread/groups/formation.py
@@ -24,6 +24,7 @@
 # A data centre of which less than this share is heard is cut off: its
 # groups go on serving there, and can not be reached from here.
 HEARD_SHARE = 0.25
+NEEDS_LOAD = 2  # the rank of a VM that has to load a model first
 WARM_PREFIX = 'warm-'
 
 
@@ -34,6 +35,7 @@
     told: directory.Announcement
     lost: bool
     gone: bool
+    slow: bool = False
 
     @property
     def endpoint_id(self) -> str:
@@ -225,7 +227,7 @@
             self.vm_by_id.values(), key=lambda vm: vm.told.born_ms
         ):
             if vm.is_sound and vm.endpoint_id not in self._held:
-                if vm.told.place is None:
+                if vm.told.place is None and not vm.slow:
                     free[vm.told.fabric_domain].append(vm)
         return free
 
@@ -237,10 +239,41 @@
         if self._works_unheard(group, vms):
             return
         if all(vm is not None and vm.is_sound for vm in vms):
+            if group.state == 'serving' and any(vm.slow for vm in vms):
+                self._replace_slow(group, vms)
+                return
             self._bring_up(group, vms)
         elif self.knows_all:
             self._take_apart(group, vms)
 
+    def _replace_slow(self, group: ledger.Group, vms: list[Vm]) -> None:
+        """Replace slow members, if spares stand ready for all of them.
+
+        Without these a slow group is better than one that waits for a
+        load.
+        """
+        slow = [vm for vm in vms if vm.slow]
+        free = self._free_by_domain[group.fabric_domain]
+        ready = [
+            vm for vm in free if self._slowness(vm, group.model) < NEEDS_LOAD
+        ]
+        if len(ready) < len(slow):
+            return
+        if self._stop_head(group, vms, after_requests=False):
+            return
+        chosen = ready[: len(slow)]
+        for vm in chosen:
+            free.remove(vm)
+        kept = [vm for vm in vms if not vm.slow]
+        self._propose(
+            commands.RepairGroup(
+                group_id=group.group_id,
+                fencing=group.fencing,
+                members=[vm.member for vm in (*kept, *chosen)],
+            ),
+            'a member is slow',
+        )
+
     def _works_unheard(
         self, group: ledger.Group, vms: list[Vm | None]
     ) -> bool:
@@ -496,7 +529,7 @@
     def _slowness(self, vm: Vm, model: str) -> int:
         """Return a rank by how long a VM takes to join a model's group."""
         if model not in vm.told.staged:
-            return 2
+            return NEEDS_LOAD
         return 0 if self.warm_models.get(vm.life) == model else 1
 
     # New groups
--- a/packages/groups/src/apricotthread/groups/formationmanager.py
+++ b/packages/groups/src/apricotthread/groups/formationmanager.py
@@ -75,6 +75,7 @@
         agreed: replica.Replica,
         endpoints: directory.Directory,
         seen: evidence.EvidenceStore,
+        slow_ids: collections.abc.Set[str],
         get_table: collections.abc.Callable[
             [], routetables.RouteTable | None
         ],
@@ -85,6 +86,7 @@
         self._agreed = agreed
         self._endpoints = endpoints
         self._seen = seen
+        self._slow_ids = slow_ids
         self._heard_first_at: float | None = None
         self._known_vms = 0
         self._grew_at = 0.0
@@ -149,7 +151,10 @@
     ) -> None:
         vm_by_id = {
             endpoint_id: formation.Vm(
-                told=entry.announcement, lost=entry.lost, gone=entry.gone
+                told=entry.announcement,
+                lost=entry.lost,
+                gone=entry.gone,
+                slow=endpoint_id in self._slow_ids,
             )
             for endpoint_id, entry in self._endpoints.entry_by_id.items()
             if entry.announcement.service == service.name
--- a/packages/groups/src/apricotthread/groups/prober.py
+++ b/packages/groups/src/apricotthread/groups/prober.py
@@ -15,6 +15,8 @@
 CHECK_PERIOD_S = 0.1
 PROBE_TIMEOUT_S = 0.3  # a VM that is up answers within milliseconds
 FAILURES_FOR_LOST = 2
+SLOW_PACE = 2.0
+SLOW_PROBE_S = 1.0  # while a VM is known to be slow
 DOUBT_S = 1.0  # how long a stall that was seen casts doubt on a group
 # One missed heartbeat of the platform's workers (1.2 s) and its way.
 SILENT_S = 1.6
@@ -23,10 +25,13 @@
 class EndpointProbe(typing.Protocol):
     """Asks an endpoint for a sign of life."""
 
-    async def is_there(
+    async def ask_pace(
         self, told: directory.Announcement, *, timeout_s: float
-    ) -> bool:
-        """Whether the endpoint, in the same life, answers in time."""
+    ) -> float | None:
+        """Return how slow the endpoint says it is, 1 for usual.
+
+        None if the endpoint, in the same life, does not answer in time.
+        """
 
 
 class Prober:
@@ -51,6 +56,7 @@
         self._seen = seen
         self._probe = probe
         self._failures = collections.Counter()
+        self.slow_ids: set[str] = set()
         self._asked_at: dict[str, float] = {}
         self._running: set[asyncio.Task] = set()
 
@@ -70,6 +76,7 @@
         doubtful = set()
         for group in groups:
             seen = self._seen.of(group.group_id, group.fencing)
+            is_slow = now - seen.slow_at < DOUBT_S
             has_stalled = (
                 now - seen.stalled_at < DOUBT_S
                 and seen.stalled_at > seen.progressed_at
@@ -80,28 +87,54 @@
                 if entry is None or entry.lost or entry.gone:
                     continue
                 is_silent = now - entry.heard_at > SILENT_S and not works
-                if has_stalled or is_silent:
+                if has_stalled or is_silent or is_slow:
                     doubtful.add(member.endpoint_id)
-        return doubtful
+        return doubtful | {
+            name
+            for name in self.slow_ids
+            if name in self._endpoints.entry_by_id
+        }
 
     def _start(self, endpoint_id: str, now: float) -> None:
         asked_at = self._asked_at.get(endpoint_id, float('-inf'))
-        if now - asked_at < PROBE_TIMEOUT_S + CHECK_PERIOD_S / 2:
+        pause_s = PROBE_TIMEOUT_S + CHECK_PERIOD_S / 2
+        if endpoint_id in self.slow_ids:
+            pause_s = SLOW_PROBE_S
+        if now - asked_at < pause_s:
             return
         self._asked_at[endpoint_id] = now
         task = asyncio.create_task(self._ask(endpoint_id))
         self._running.add(task)
         task.add_done_callback(self._running.discard)
 
+    def _note_pace(self, endpoint_id: str, pace: float) -> None:
+        """Remember who is slow, as a group is as slow as its slowest."""
+        was_slow = endpoint_id in self.slow_ids
+        is_slow = pace > (SLOW_PACE / 2 if was_slow else SLOW_PACE)
+        if is_slow == was_slow:
+            return
+        logs.log_event(
+            'member_slow' if is_slow else 'member_usual',
+            endpoint=endpoint_id,
+            pace=pace,
+        )
+        if is_slow:
+            self.slow_ids.add(endpoint_id)
+        else:
+            self.slow_ids.discard(endpoint_id)
+
     async def _ask(self, endpoint_id: str) -> None:
         entry = self._endpoints.entry_by_id[endpoint_id]
         heard_at = entry.heard_at
         self._env.metrics.count('member_probes')
-        if await self._probe.is_there(
+        pace = await self._probe.ask_pace(
             entry.announcement, timeout_s=PROBE_TIMEOUT_S
-        ):
+        )
+        if pace is not None:
             self._failures.pop(endpoint_id, None)
+            self._note_pace(endpoint_id, pace)
             return
+        self.slow_ids.discard(endpoint_id)
         if entry.heard_at > heard_at:
             return
         self._failures[endpoint_id] += 1
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -82,7 +82,7 @@
         told = {
             key: value
             for key, value in changes.items()
-            if key not in ('lost', 'gone')
+            if key not in ('lost', 'gone', 'slow')
         }
         self.vm_by_id[name] = formation.Vm(
             told=directory.Announcement(
@@ -93,6 +93,7 @@
             ),
             lost=changes.get('lost', vm.lost),
             gone=changes.get('gone', vm.gone),
+            slow=changes.get('slow', vm.slow),
         )
 
     def plan(self, *, knows_all: bool = True) -> list[formation.Step]:
@@ -332,6 +333,21 @@
     assert spare.endpoint_id in {s.vm.endpoint_id for s in warmed}
 
 
+def test_a_slow_member_is_replaced_while_ready_spares_last(world):
+    world.settle()
+    group = world.group_of('large')
+    first, second = group.members[1:3]
+    world.change(first.endpoint_id, slow=True)
+    world.settle()
+    repaired = world.ledger.group_by_id[group.group_id]
+    assert first not in repaired.members
+    world.change(second.endpoint_id, slow=True)
+    world.settle()
+    assert world.ledger.group_by_id[group.group_id] == repaired
+    world.change(second.endpoint_id, slow=False)
+    assert world.serving() == {'large': 6, 'small': 6}
+
+
 def test_a_spare_that_gets_ready_is_left_alone(world):
     world.settle()
     held = world.ledger.held_vms()
