--- a/packages/control/src/apricotthread/control/admissions.py
+++ b/packages/control/src/apricotthread/control/admissions.py
@@ -46,7 +46,7 @@
             if command is None:
                 continue
             logs.log_event(
-                'voters_change',
+                'voters_change_proposed',
                 change=type(command).__name__,
                 peer=command.node_id,
                 voters=sorted(self._agreed.voters.disk_by_voter()),
@@ -56,6 +56,12 @@
                     await self._agreed.propose_as_leader(
                         commands.encode_command(command)
                     )
+                logs.log_event(
+                    'voters_changed',
+                    change=type(command).__name__,
+                    peer=command.node_id,
+                    voters=sorted(self._agreed.voters.disk_by_voter()),
+                )
             except errors.ApricotError as error:
                 logs.log_fault('voters_change_failed', error)
             except TimeoutError:
--- /dev/null
+++ b/tests/platformstandin.py
@@ -0,0 +1,347 @@
+"""A small stand-in of the users' platform, for real nodes on loopback.
+
+Control nodes have the addresses 127.0.1.N, entries 127.0.2.N, and
+workers 127.0.0.1 with ports of their own.
+"""
+
+import asyncio
+import collections
+import contextlib
+import json
+import os
+import pathlib
+import shutil
+import signal
+import socket
+import sys
+import time
+
+import aiohttp
+
+SETTINGS = """
+[node]
+id = {host}
+data_centre = north
+data_folder = {data}
+
+[listen]
+host = {host}
+caller_address = {caller}
+readiness_address = {ready}
+control_address = {control}
+
+[discovery]
+seeds = {seeds}
+first_start = {first}
+data_centres = north,
+peer_port = {port}
+roles = {role}
+
+[timing]
+heartbeat_s = 0.1
+lease_s = 0.5
+endpoint_lease_s = 2.9
+stall_s = 5.5
+drain_s = 7.0
+ready_grace_s = 0.5
+
+[fleet]
+tolerated_losses = 1
+"""
+DAEMON = [sys.executable, '-m', 'apricotthread.daemon.main']
+
+
+def free_port():
+    """Return a port that nobody listens at."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return probe.getsockname()[1]
+
+
+class Worker:
+    """A worker of the platform: plain, or a VM of an engine group."""
+
+    def __init__(self, *, name, service, controls, domain=''):
+        self.name = name
+        self.service = service
+        self.domain = domain
+        self.controls = controls
+        self.address = ''
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.group = None
+        self.staged = []
+        self.run_ids = collections.Counter()
+        self.cut_ids = []
+        self.events = 12
+        self.gap_s = 0.02
+        self.orders = []
+        self._server = None
+        self._tasks = set()
+
+    async def start(self):
+        """Listen and announce."""
+        self._server = await asyncio.start_server(
+            self._serve, '127.0.0.1', 0
+        )
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f'{host}:{port}'
+        self._spawn(self._beat_often())
+
+    def stop(self):
+        """Fall silent."""
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+    def _spawn(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _beat_often(self):
+        while True:
+            await self._beat()
+            await asyncio.sleep(0.3)
+
+    async def _beat(self):
+        self.sequence += 1
+        body = {
+            'service': self.service,
+            'address': self.address,
+            'zone': 'north',
+            'version': 'v1',
+            'slot-count': 8,
+            'state': 'ready',
+            'cold-left-ms': 0,
+            'sequence': self.sequence,
+            'born': self.born,
+            'prestaged': self.staged,
+            'fault-domain': self.domain,
+        }
+        if self.group is not None:
+            body['group'] = self.group
+        async with aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=0.5)
+        ) as session:
+            for control in self.controls:
+                with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                    url = f'http://{control}/-/instances/{self.name}/heartbeat'
+                    async with session.post(url, json=body) as answer:
+                        if answer.status == 200:
+                            return
+
+    async def _serve(self, reader, writer):
+        self._tasks.add(asyncio.current_task())
+        with contextlib.suppress(
+            asyncio.IncompleteReadError, ConnectionError
+        ):
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                first, *rest = head.decode().split('\r\n')
+                headers = {
+                    key.lower(): value.strip()
+                    for key, _, value in (
+                        line.partition(':') for line in rest if line
+                    )
+                }
+                size = int(headers.get('content-length', 0))
+                body = await reader.readexactly(size)
+                method, target, _ = first.split()
+                await self._answer(target, headers, body, writer)
+        writer.close()
+
+    async def _answer(self, target, headers, body, writer):
+        if headers.get('expect-instance', self.name) != self.name:
+            self._write(writer, 421, {'Instance-Id': self.name})
+        elif target == '/-/report':
+            self._write(writer, 200, {}, json.dumps({'pace': 1.0}))
+        elif target == '/-/order':
+            self._take_order(json.loads(body))
+            self._write(writer, 202, {})
+            self._spawn(self._beat())
+        else:
+            await self._run(headers, writer)
+        await writer.drain()
+
+    def _take_order(self, order):
+        self.orders.append(order)
+        match order['operation']:
+            case 'join':
+                self.staged = [order['model-id']]
+                self.group = {
+                    'name': order['group'],
+                    'epoch': order['epoch'],
+                    'rank': order['member-nodes'].index(self.name),
+                    'state': 'ready',
+                }
+            case 'open':
+                self.group['state'] = 'open'
+            case 'close':
+                self.group['state'] = 'ready'
+            case 'leave':
+                self.group = None
+            case 'phase':
+                self.staged = [order['model-id']]
+
+    async def _run(self, headers, writer):
+        attempt = headers['attempt-id']
+        self.run_ids[attempt] += 1
+        sealed = {
+            'Attempt-Id': attempt,
+            'Response-Seal': f'seal-{attempt}',
+            'Instance-Load': '1,0,8',
+        }
+        if 'model' not in headers:
+            await asyncio.sleep(self.gap_s)
+            self._write(writer, 200, sealed, f'{self.name} {attempt}')
+            return
+        lines = ''.join(f'{key}: {value}\r\n' for key, value in sealed.items())
+        writer.write(
+            (
+                f'HTTP/1.1 200 OK\r\n{lines}Content-Type: text/event-stream'
+                '\r\nTransfer-Encoding: chunked\r\n\r\n'
+            ).encode()
+        )
+        start = int(headers.get('last-event-id', 0)) + 1
+        try:
+            for number in range(start, self.events + 1):
+                event = f'id: {number}\ndata: piece {number}\n\n'
+                writer.write(f'{len(event):x}\r\n{event}\r\n'.encode())
+                await writer.drain()
+                if writer.is_closing():
+                    raise ConnectionError
+                await asyncio.sleep(self.gap_s)
+        except ConnectionError:
+            self.cut_ids.append((attempt, time.monotonic()))
+            raise
+        writer.write(b'0\r\n\r\n')
+
+    def _write(self, writer, status, headers, body=''):
+        lines = ''.join(f'{k}: {v}\r\n' for k, v in headers.items())
+        writer.write(
+            (
+                f'HTTP/1.1 {status} X\r\n{lines}'
+                f'Content-Length: {len(body)}\r\n\r\n{body}'
+            ).encode()
+        )
+
+
+class Deployment:
+    """Nodes as real processes, with workers in this process."""
+
+    def __init__(self, *, folder: pathlib.Path, controls=3, entries=2):
+        self.folder = folder
+        self.peer_port = free_port()
+        self.control_port = free_port()
+        self.caller_port = free_port()
+        self.ready_port = free_port()
+        self.hosts = [f'127.0.1.{n + 1}' for n in range(controls)]
+        self.entries = [f'127.0.2.{n + 1}' for n in range(entries)]
+        self.controls = [f'{h}:{self.control_port}' for h in self.hosts]
+        self.process_by_host = {}
+        self.workers = []
+
+    async def start_node(self, host, *, first=True, seeds=None):
+        """Start a node, a control node if its address says so."""
+        is_control = host.startswith('127.0.1.')
+        data = self.folder / f'data-{host}'
+        path = self.folder / f'{host}.ini'
+        path.write_text(
+            SETTINGS.format(
+                host=host,
+                data=data if is_control else '',
+                caller='' if is_control else f'{host}:{self.caller_port}',
+                ready='' if is_control else f'{host}:{self.ready_port}',
+                control=f'{host}:{self.control_port}' if is_control else '',
+                seeds=','.join(seeds or self.controls[:3]),
+                first='true' if first else 'false',
+                port=self.peer_port,
+                role='control' if is_control else 'entry',
+            )
+        )
+        log = open(self.folder / f'{host}.log', 'ab')
+        self.process_by_host[host] = await asyncio.create_subprocess_exec(
+            *DAEMON,
+            '--settings',
+            str(path),
+            stdout=log,
+            stderr=log,
+            env={**os.environ, 'PYTHONUNBUFFERED': '1'},
+        )
+
+    async def start(self):
+        """Start all nodes."""
+        for host in (*self.hosts, *self.entries):
+            await self.start_node(host)
+
+    async def add_worker(self, **values):
+        """Start a worker."""
+        worker = Worker(controls=self.controls, **values)
+        await worker.start()
+        self.workers.append(worker)
+        return worker
+
+    async def stop_node(self, host, *, how=signal.SIGTERM):
+        """Send a signal and return the exit status."""
+        process = self.process_by_host.pop(host)
+        process.send_signal(how)
+        return await asyncio.wait_for(process.wait(), 15)
+
+    def wipe(self, host):
+        """Lose the disk of a node that is down."""
+        shutil.rmtree(self.folder / f'data-{host}')
+
+    async def close(self):
+        """End everything that was started."""
+        for worker in self.workers:
+            worker.stop()
+        for process in self.process_by_host.values():
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
+            await process.wait()
+
+    async def call_control(self, path, body=None, *, within_s=15.0):
+        """Call any control node, as operators do; return the answer."""
+        deadline = time.monotonic() + within_s
+        seen = 'nothing'
+        async with aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=1.5)
+        ) as session:
+            while time.monotonic() < deadline:
+                for control in self.controls:
+                    method = 'GET' if body is None else 'POST'
+                    try:
+                        async with session.request(
+                            method, f'http://{control}{path}', data=body
+                        ) as answer:
+                            text = await answer.read()
+                            seen = f'{answer.status} {text[:200]}'
+                            if answer.status < 500:
+                                return answer.status, text
+                    except (aiohttp.ClientError, TimeoutError) as error:
+                        seen = repr(error)
+                await asyncio.sleep(0.1)
+        raise AssertionError(f'{path}: no answer but {seen}')
+
+    async def ask(self, host, path, *, method='POST', **headers):
+        """Send a client's request; return status, headers and body."""
+        async with aiohttp.ClientSession() as session:
+            async with session.request(
+                method,
+                f'http://{host}:{self.caller_port}{path}',
+                headers={
+                    'Host': 'a.example',
+                    'Deadline-Ms': '5000',
+                    'X-Api-Key': 'k1',
+                    **{k.replace('_', '-'): v for k, v in headers.items()},
+                },
+            ) as answer:
+                return answer.status, answer.headers, await answer.read()
+
+    async def wait_until(self, check, *, within_s=15.0):
+        """Wait until an asynchronous check holds."""
+        deadline = time.monotonic() + within_s
+        while not await check():
+            assert time.monotonic() < deadline, check
+            await asyncio.sleep(0.1)
--- /dev/null
+++ b/tests/test_fleet_system.py
@@ -0,0 +1,272 @@
+"""Real nodes that find each other, before a stand-in of the platform."""
+
+import asyncio
+import copy
+import json
+import time
+
+import aiohttp
+import pytest
+
+from tests import platformstandin
+from tests import test_platform
+
+
+def make_config(version, *, keys=('k1',)):
+    """Return a configuration of one model of three VMs and one service."""
+    config = copy.deepcopy(test_platform.CONFIG)
+    config['version'] = version
+    stream, bid = config['routes']
+    del stream['traffic-split']
+    stream['service'] = 'models'
+    read = {
+        **bid,
+        'name': 'r-3',
+        'path-prefix': '/reads/',
+        'kind': 'idempotent',
+        'max-attempts': 2,
+    }
+    config['routes'].append(read)
+    config['tenants'][0]['api-keys'] = list(keys)
+    (model,) = config['services'][0]['engine-profile']['model-ids']
+    model.update({'size': 3, 'traffic-share': 1.0})
+    return json.dumps(config).encode()
+
+
+@pytest.fixture
+def play(tmp_path):
+    """Return a runner of a body on a deployment that serves."""
+
+    def run(body, *, vms=4):
+        async def main():
+            deployment = platformstandin.Deployment(folder=tmp_path)
+            try:
+                await deployment.start()
+                status, _ = await deployment.call_control(
+                    '/-/config/put', make_config(1)
+                )
+                assert status == 200
+                for number in range(2):
+                    await deployment.add_worker(
+                        name=f'w-{number}', service='bids'
+                    )
+                for number in range(vms):
+                    await deployment.add_worker(
+                        name=f'vm-{number}', service='models', domain='d1'
+                    )
+                for host in deployment.entries:
+                    await deployment.wait_until(
+                        lambda host=host: serves(deployment, host)
+                    )
+                await body(deployment)
+            finally:
+                await deployment.close()
+
+        asyncio.run(main())
+
+    return run
+
+
+async def serves(deployment, host):
+    """Whether an entry answers calls and streams."""
+    try:
+        call, _, _ = await deployment.ask(host, '/reads/1', Attempt_Id='try')
+        stream, _, _ = await deployment.ask(
+            host, '/lots/1', Attempt_Id='try', Model='m0', Token_Usage='10,80'
+        )
+    except (aiohttp.ClientError, OSError):
+        return False
+    return (call, stream) == (200, 200)
+
+
+def test_calls_and_streams_are_passed_through_whole(play):
+    async def body(deployment):
+        host = deployment.entries[0]
+        status, headers, text = await deployment.ask(
+            host, '/bids/7', Attempt_Id='b-7'
+        )
+        assert status == 200
+        assert headers['Response-Seal'] == 'seal-b-7'
+        assert text.split()[1] == b'b-7'
+        status, headers, text = await deployment.ask(
+            host, '/lots/1', Attempt_Id='s-1', Model='m0', Token_Usage='10,80'
+        )
+        assert headers['Response-Seal'] == 'seal-s-1'
+        assert text.count(b'data: piece') == 12
+        unknown, _, _ = await deployment.ask(host, '/x/', Attempt_Id='n')
+        assert unknown == 404
+        denied, _, _ = await deployment.ask(
+            host, '/reads/1', Attempt_Id='n', X_Api_Key='wrong'
+        )
+        assert denied == 401
+        runs = sum(w.run_ids['b-7'] for w in deployment.workers)
+        assert runs == 1
+        opened = [
+            order
+            for worker in deployment.workers
+            for order in worker.orders
+            if order['operation'] == 'open'
+        ]
+        assert len(opened) == 1
+
+    play(body)
+
+
+def test_a_stream_goes_on_when_its_group_breaks(play):
+    async def body(deployment):
+        for worker in deployment.workers:
+            worker.events = 60
+        asking = asyncio.create_task(
+            deployment.ask(
+                deployment.entries[0],
+                '/lots/1',
+                Attempt_Id='s-2',
+                Model='m0',
+                Token_Usage='10,80',
+                Deadline_Ms='8000',
+            )
+        )
+        await asyncio.sleep(0.4)
+        head = next(w for w in deployment.workers if w.run_ids['s-2'])
+        head.stop()
+        status, _, text = await asking
+        assert status == 200
+        numbers = [
+            int(line.split()[1])
+            for line in text.decode().splitlines()
+            if line.startswith('id: ')
+        ]
+        assert numbers == list(range(1, 61))
+
+    play(body, vms=6)
+
+
+def test_a_table_outlives_leaders_and_wiped_disks(play):
+    async def body(deployment):
+        version = 1
+        for host in deployment.hosts:
+            await deployment.stop_node(host, how=9)
+            deployment.wipe(host)
+            await deployment.start_node(host, first=False)
+            version += 1
+            status, _ = await deployment.call_control(
+                '/-/config/put', make_config(version)
+            )
+            assert status == 200
+            await deployment.wait_until(
+                lambda host=host: is_admitted(deployment, host)
+            )
+        status, text = await deployment.call_control('/-/config/get')
+        assert json.loads(text)['version'] == version
+        assert text == make_config(version)
+
+    play(body)
+
+
+async def is_admitted(deployment, host):
+    """Whether a log says that a disk of a control node votes again."""
+    for other in deployment.hosts:
+        log = (deployment.folder / f'{other}.log').read_text()
+        if any(
+            '"voters_changed"' in line
+            and '"AdmitVoter"' in line
+            and f'"peer":"{host}"' in line
+            for line in log.splitlines()
+        ):
+            return True
+    return False
+
+
+def test_an_older_or_other_table_is_acknowledged_and_changes_nothing(play):
+    async def body(deployment):
+        await deployment.call_control('/-/config/put', make_config(9))
+        for late in (make_config(8), make_config(9, keys=('k9',))):
+            status, _ = await deployment.call_control('/-/config/put', late)
+            assert status == 200
+        _, text = await deployment.call_control('/-/config/get')
+        assert text == make_config(9)
+        status, _ = await deployment.call_control('/-/config/put', b'{"ver')
+        assert status == 400
+
+    play(body)
+
+
+def test_a_revoked_key_stops_working_within_two_seconds(play):
+    async def body(deployment):
+        await deployment.call_control(
+            '/-/config/put', make_config(2, keys=('k2',))
+        )
+        changed_at = time.monotonic()
+        for host in deployment.entries:
+            await deployment.wait_until(
+                lambda host=host: is_denied(deployment, host), within_s=2.0
+            )
+        assert time.monotonic() - changed_at < 2.0
+
+    play(body)
+
+
+async def is_denied(deployment, host):
+    """Whether an entry refuses the old key."""
+    status, _, _ = await deployment.ask(host, '/reads/1', Attempt_Id='r')
+    return status == 401
+
+
+def test_a_stopped_entry_cuts_no_answer_and_says_it_is_not_ready(play):
+    async def body(deployment):
+        host = deployment.entries[1]
+        for worker in deployment.workers:
+            worker.events = 60
+        asking = [
+            asyncio.create_task(
+                deployment.ask(
+                    host,
+                    '/lots/1',
+                    Attempt_Id=f'd-{number}',
+                    Model='m0',
+                    Token_Usage='10,80',
+                )
+            )
+            for number in range(6)
+        ]
+        await asyncio.sleep(0.2)
+        stopping = asyncio.create_task(deployment.stop_node(host))
+        await asyncio.sleep(0.2)
+        async with aiohttp.ClientSession() as session:
+            url = f'http://{host}:{deployment.ready_port}/-/ready'
+            async with session.get(url) as answer:
+                assert answer.status == 503
+        answers = await asyncio.gather(*asking)
+        assert await stopping == 0
+        for status, _, text in answers:
+            assert status == 200
+            assert text.count(b'data: piece') == 60
+
+    play(body)
+
+
+def test_a_caller_that_leaves_frees_the_endpoint_at_once(play):
+    async def body(deployment):
+        for worker in deployment.workers:
+            worker.events = 500
+        asking = asyncio.create_task(
+            deployment.ask(
+                deployment.entries[0],
+                '/lots/1',
+                Attempt_Id='g-1',
+                Model='m0',
+                Token_Usage='10,80',
+            )
+        )
+        await asyncio.sleep(0.4)
+        asking.cancel()
+        left_at = time.monotonic()
+
+        async def is_cut():
+            return any(w.cut_ids for w in deployment.workers)
+
+        await deployment.wait_until(is_cut, within_s=2.0)
+        ended_at = max(at for w in deployment.workers for _, at in w.cut_ids)
+        assert ended_at - left_at < 0.5
+
+    play(body)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,411 @@
+"""The names, formats and calls of the users' platform."""
+
+import json
+import pathlib
+import re
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from apricotthread.base import errors
+from apricotthread.control import routetables
+from apricotthread.endpoints import connections
+from apricotthread.endpoints import directory
+from apricotthread.gateway import requests
+from apricotthread.groups import formation
+from apricotthread.platform import callers
+from apricotthread.platform import configs
+from apricotthread.platform import instances
+from apricotthread.platform import orders
+from tests import test_formation
+
+CONFIG = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r-1',
+            'host': 'a.example',
+            'path-prefix': '/lots/',
+            'kind': 'streaming',
+            'timeout-ms': 8000,
+            'target-latency-ms': 400,
+            'priority': 1,
+            'traffic-split': [
+                {'service': 'models', 'weight': 90},
+                {'service': 'bids', 'weight': 10},
+            ],
+            'max-attempts': 2,
+            'public': False,
+            'sticky': True,
+            'resumable': True,
+            'target-gap-ms': 250,
+        },
+        {
+            'name': 'r-2',
+            'host': 'a.example',
+            'path-prefix': '/bids/',
+            'kind': 'non_idempotent',
+            'timeout-ms': 1000,
+            'target-latency-ms': 125,
+            'priority': 2,
+            'service': 'bids',
+            'max-attempts': 1,
+        },
+    ],
+    'services': [
+        {
+            'name': 'models',
+            'health-path': '/health',
+            'max-conns': 464,
+            'cold-start-s': 3.0,
+            'cold-per-s': 36.0,
+            'engine-profile': {
+                'slot-count': 13,
+                'kv-token-capacity': 1235000,
+                'stride': 6,
+                'model-ids': [
+                    {
+                        'name': 'm0',
+                        'size': 6,
+                        'traffic-share': 0.67,
+                        'pace': 1.0,
+                        'load-s': 16.0,
+                        'warmup-s': 1.6,
+                    }
+                ],
+                'step_ms': 6.45,
+                'per_seq_ms': 0.1934,
+                'context_per_k': 0.00586,
+                'read_per_s': 56100.0,
+                'loads-per-s': 5.5,
+                'loads_at_once': 8,
+                'staged-limit': 1,
+                'form-ms': 300.0,
+            },
+        },
+        {
+            'name': 'bids',
+            'health-path': '/health',
+            'max-conns': 100,
+            'cold-start-s': 0.0,
+            'cold-per-s': 0.0,
+        },
+    ],
+    'limits': {
+        'max-header-bytes': 16384,
+        'max-body-bytes': 4194304,
+        'header-timeout-ms': 3000,
+        'idle-timeout-ms': 15000,
+    },
+    'tenants': [{'name': 'club', 'api-keys': ['k1', 'k2'], 'priority': 1}],
+}
+BEAT = {
+    'service': 'models',
+    'address': '10.128.0.9:8080',
+    'zone': 'vn-south-a',
+    'version': 'v1',
+    'slot-count': 13,
+    'state': 'ready',
+    'cold-left-ms': 1500,
+    'phase': 'colocated',
+    'model-ids': [{'name': 'm0', 'version': 1, 'lora-adapters': []}],
+    'sequence': 4,
+    'born': 1785751950009,
+    'fault-domain': 'd1',
+    'prestaged': ['m0'],
+    'group': {'name': 'g', 'epoch': 3, 'rank': 0, 'state': 'open'},
+}
+
+
+def encode(value):
+    """Return a value as the platform writes it."""
+    return json.dumps(value).encode()
+
+
+# Configurations
+
+
+def test_a_configuration_becomes_a_routing_table():
+    table = configs.read_config(encode(CONFIG))
+    stream, bid = table.routes
+    assert table.version == 7
+    assert stream.repeat is routetables.Repeat.RESUME
+    assert stream.is_stream
+    assert stream.timeout_s == 8.0
+    assert [share.weight for share in stream.shares] == [90, 10]
+    assert bid.repeat is routetables.Repeat.NEVER
+    assert bid.shares[0].service == 'bids'
+    engine = table.service_by_name()['models'].engine
+    assert engine.step_s == pytest.approx(0.00645)
+    assert engine.models[0].warm_load_s == 1.6
+    assert table.accounts[0].keys == ('k1', 'k2')
+    assert table.needs_key
+    assert table.limits.idle_timeout_s == 15.0
+
+
+def test_a_table_survives_the_log():
+    table = configs.read_config(encode(CONFIG))
+    packed = routetables.pack_table(table)
+    assert routetables.unpack_table(packed) == table
+
+
+@pytest.mark.parametrize('end', range(0, 400, 23))
+def test_a_configuration_that_is_cut_short_is_refused(end):
+    with pytest.raises(errors.ApricotError) as refused:
+        configs.read_config(encode(CONFIG)[:end])
+    assert refused.value.code.http_status == 400
+
+
+@pytest.mark.parametrize(
+    'spoil',
+    [
+        lambda c: c['routes'][0].update({'timeout-ms': 0}),
+        lambda c: c['routes'][1].update({'service': 'unknown'}),
+        lambda c: c['routes'][1].update({'path-prefix': '/lots/'}),
+        lambda c: [s.update(weight=0) for s in c['routes'][0]['traffic-split']],
+        lambda c: c['routes'][0].pop('host'),
+        lambda c: c.update(version='7'),
+        lambda c: c['tenants'].append({'name': 'b', 'api-keys': ['k1']}),
+    ],
+)
+def test_an_invalid_configuration_is_refused(spoil):
+    config = json.loads(encode(CONFIG))
+    spoil(config)
+    with pytest.raises(errors.ApricotError) as refused:
+        configs.read_config(encode(config))
+    assert refused.value.code is errors.ErrorCode.TABLE
+
+
+@hypothesis.given(data=strategies.binary(max_size=200))
+def test_hostile_bytes_are_refused_with_a_typed_error(data):
+    with pytest.raises(errors.ApricotError):
+        configs.read_config(data)
+    with pytest.raises(errors.ApricotError):
+        instances.read_beat('i-1', data)
+
+
+# Workers
+
+
+def test_a_heartbeat_becomes_an_announcement():
+    told = instances.read_beat('i-1', encode(BEAT))
+    assert told.endpoint_id == 'i-1'
+    assert told.data_centre == 'vn-south-a'
+    assert told.cold_s == 1.5
+    assert told.staged == ('m0',)
+    assert told.fabric_domain == 'd1'
+    assert told.place == directory.GroupPlace(
+        group_id='g', epoch=3, rank=0, state=directory.MemberState.OPEN
+    )
+    assert not told.leaving
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'state': 'asleep'},
+        {'sequence': 'four'},
+        {'address': None},
+        {'slot-count': 1.5},
+        {'born': 1.5},
+    ],
+)
+def test_a_forged_heartbeat_names_nobody(change):
+    with pytest.raises(errors.ApricotError) as refused:
+        instances.read_beat('i-1', encode({**BEAT, **change}))
+    assert refused.value.code is errors.ErrorCode.BAD_REQUEST
+
+
+def test_a_worker_without_groups_announces_itself_too():
+    plain = {
+        key: value
+        for key, value in BEAT.items()
+        if key not in ('group', 'prestaged', 'fault-domain', 'model-ids')
+    }
+    assert instances.read_beat('i-1', encode(plain)).place is None
+
+
+def test_a_farewell_may_be_empty_or_unreadable():
+    assert instances.read_leave(b'') == 0
+    assert instances.read_leave(b'{"born": 12}') == 12
+    assert instances.read_leave(b'{"born"') == 0
+
+
+def test_orders_carry_group_epoch_and_fence():
+    world = test_formation.World()
+    world.add('a1', 9)
+    world.settle()
+    group = world.group_of('large')
+    vm = world.vm_by_id[group.members[0].endpoint_id]
+    join = json.loads(
+        orders.make_order(
+            formation.Join(vm=vm, group=group, needs_load=False), fence=5
+        )
+    )
+    assert join == {
+        'operation': 'join',
+        'group': group.group_id,
+        'epoch': group.fencing,
+        'model-id': 'large',
+        'member-nodes': [m.endpoint_id for m in group.members],
+        'fence': 5,
+    }
+    close = json.loads(
+        orders.make_order(
+            formation.Close(
+                vm=vm, group_id='g', epoch=2, after_requests=True
+            ),
+            fence=5,
+        )
+    )
+    assert close['close-mode'] == 'queue'
+
+
+# Requests
+
+
+def make_headers(**extra):
+    """Return the headers of a client's request."""
+    headers = {
+        b'host': b'a.example',
+        b'attempt-id': b'9c41',
+        b'deadline-ms': b'8000',
+        b'x-api-key': b'k1',
+        b'model': b'm0',
+        b'token-usage': b'1460,80',
+        b'last-event-id': b'12',
+        b'prompt-prefix': b'5c:800',
+        b'connection': b'keep-alive, x-hop',
+        b'x-hop': b'1',
+        b'expect-instance': b'forged',
+        b'tenant': b'forged',
+    }
+    headers.update(
+        {
+            name.replace('_', '-').encode(): value
+            for name, value in extra.items()
+        }
+    )
+    return list(headers.items())
+
+
+def write(dialect, headers, body=b'text'):
+    """Return the request that a worker gets."""
+    table = configs.read_config(encode(CONFIG))
+    caller = dialect.read_caller('POST', b'/lots/2f?x=1', headers)
+    job = requests.Job(
+        caller=caller,
+        body=body,
+        route=table.routes[0],
+        service=table.services[0],
+        account='club',
+        deadline=8.0,
+        received_at=0.0,
+    )
+    return dialect.write_request(
+        job,
+        address='10.0.0.1:80',
+        endpoint_id='i-7',
+        time_left_s=7.25,
+        last_event_id=14,
+    )
+
+
+def test_a_client_head_is_read():
+    caller = callers.PlatformDialect().read_caller(
+        'POST', b'/lots/2f?x=1', make_headers()
+    )
+    assert caller.request_id == '9c41'
+    assert caller.path == '/lots/2f'
+    assert caller.time_left_s == 8.0
+    assert (caller.prompt_tokens, caller.output_tokens) == (1460, 80)
+    assert caller.last_event_id == 12
+
+
+@pytest.mark.parametrize('value', [b'-5', b'soon', b'nan', b'inf'])
+def test_a_head_with_a_bad_number_is_refused(value):
+    with pytest.raises(errors.ApricotError) as refused:
+        callers.PlatformDialect().read_caller(
+            'GET', b'/', make_headers(deadline_ms=value)
+        )
+    assert refused.value.code is errors.ErrorCode.BAD_REQUEST
+
+
+def test_a_worker_gets_the_request_and_never_the_key():
+    written = write(callers.PlatformDialect(), make_headers())
+    head, _, body = written.partition(b'\r\n\r\n')
+    lines = head.split(b'\r\n')
+    assert lines[0] == b'POST /lots/2f?x=1 HTTP/1.1'
+    assert body == b'text'
+    assert b'k1' not in written.split(b'\r\n\r\n')[0].split(b'r\n')
+    assert b'x-api-key' not in head
+    assert b'forged' not in head
+    assert b'x-hop' not in head
+    assert b'attempt-id: 9c41' in lines
+    assert b'tenant: club' in lines
+    assert b'expect-instance: i-7' in lines
+    assert b'deadline-ms: 7250' in lines
+    assert b'last-event-id: 14' in lines
+    assert b'prompt-prefix: 5c:800' in lines
+    assert b'host: a.example' in lines
+
+
+def test_a_smuggled_length_is_replaced_by_the_true_one():
+    written = write(
+        callers.PlatformDialect(),
+        make_headers(content_length=b'0', transfer_encoding=b'chunked'),
+        body=b'GET /bids/ HTTP/1.1\r\n\r\n',
+    )
+    head, _, _ = written.partition(b'\r\n\r\n')
+    assert head.count(b'content-length: 23') == 1
+    assert b'transfer-encoding' not in head
+
+
+def test_an_answer_says_whether_it_ran_and_the_load():
+    dialect = callers.PlatformDialect()
+    facts = dialect.read_answer(
+        connections.Answer(
+            status=503,
+            headers=[
+                (b'not-executed', b'1'),
+                (b'instance-load', b'3,1,8'),
+            ],
+        )
+    )
+    assert facts.not_run
+    assert (facts.running, facts.waiting) == (3, 1)
+    assert not dialect.read_answer(
+        connections.Answer(status=503, headers=[])
+    ).not_run
+    assert dialect.read_answer(
+        connections.Answer(status=421, headers=[])
+    ).not_run
+
+
+def test_the_platforms_names_stay_in_its_folder():
+    names = {
+        'Attempt-Id',
+        'Deadline-Ms',
+        'Response-Seal',
+        'Not-Executed',
+        'Instance-Load',
+        'Expect-Instance',
+        'Token-Usage',
+        'X-Api-Key',
+        'path-prefix',
+        'target-latency-ms',
+        'traffic-split',
+        'engine-profile',
+        'member-nodes',
+        'prestaged',
+        'fault-domain',
+        'close-mode',
+        '/-/',
+    }
+    pattern = re.compile(
+        '|'.join(re.escape(name) for name in names), re.IGNORECASE
+    )
+    for source in pathlib.Path('packages').rglob('*.py'):
+        found = pattern.search(source.read_text())
+        assert found is None, f'{source}: {found.group()}'
