Link entries to few control nodes, and send groups as differences

Change: three links for an entry, the first next door; reports go to one control node, which tells the leader; updates carry the groups that have changed and are encoded once for all subscribers; heartbeats that bring no news are passed on four times a second.

--- a/packages/daemon/src/apricotthread/daemon/fleetnode.py
+++ b/packages/daemon/src/apricotthread/daemon/fleetnode.py
@@ -335,6 +335,7 @@
         settings = node.settings
         members = node.members
         known = settings.discovery
+        self._link_by_id = members.link_by_id
         folder = folders.open_folder(settings.data_folder, timer=env.timer)
         founders = frozenset(
             seed.node_id for seed in known.seeds if known.first_start
@@ -438,7 +439,12 @@
     async def _on_evidence(
         self, peer: messages.Greeting, body: messages.Evidence
     ) -> messages.Message:
-        """Take what an entry has seen of groups."""
+        """Take what an entry has seen of groups, and tell the leader."""
+        leader_id = self.agreed.leader_id
+        link = self._link_by_id.get(leader_id)
+        if link is not None and peer.node_id not in self._link_by_id:
+            await link.send(body)
+            return messages.Done()
         try:
             report = evidence.decode_report(body.payload)
         except msgspec.DecodeError as error:
--- a/packages/endpoints/src/apricotthread/endpoints/directory.py
+++ b/packages/endpoints/src/apricotthread/endpoints/directory.py
@@ -23,7 +23,9 @@
     BROKEN = 'broken'
 
 
-class GroupPlace(msgspec.Struct, frozen=True, kw_only=True):
+class GroupPlace(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True
+):
     """The group that an engine VM says it belongs to."""
 
     group_id: str
@@ -32,7 +34,9 @@
     state: MemberState
 
 
-class Announcement(msgspec.Struct, frozen=True, kw_only=True):
+class Announcement(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True
+):
     """What an endpoint says of itself.
 
     A later start of an endpoint has a greater birth time, a later
@@ -59,7 +63,9 @@
         return (self.born_ms, self.sequence)
 
 
-class Heard(msgspec.Struct, frozen=True, kw_only=True):
+class Heard(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True
+):
     """An announcement, and how long ago a control node heard it.
 
     An endpoint that said it leaves at once is gone.
--- a/packages/fleet/src/apricotthread/fleet/evidence.py
+++ b/packages/fleet/src/apricotthread/fleet/evidence.py
@@ -7,7 +7,9 @@
 from apricotthread.base import environment
 
 
-class GroupSight(msgspec.Struct, frozen=True, kw_only=True):
+class GroupSight(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True
+):
     """What one entry has seen of a group's head.
 
     A group makes progress only while all its members work. Ages are in
@@ -23,7 +25,9 @@
     slowness: float = 1.0
 
 
-class EntryReport(msgspec.Struct, frozen=True, kw_only=True):
+class EntryReport(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True
+):
     """The sights of one entry, and whether callers have come to it."""
 
     data_centre: str
--- a/packages/fleet/src/apricotthread/fleet/publisher.py
+++ b/packages/fleet/src/apricotthread/fleet/publisher.py
@@ -1,6 +1,7 @@
 """The control node's side: telling peers and entries what changes."""
 
 import asyncio
+import dataclasses
 
 import msgspec
 
@@ -14,8 +15,22 @@
 from apricotthread.nodes import messages
 from apricotthread.nodes import server
 
+UNCHANGED_BATCH_S = 0.25
 BATCH_S = 0.02  # collects the news of one moment into one message
 FIND_LOST_PERIOD_S = 0.1
+MAX_KEPT_INDEXES = 128  # a subscriber further behind gets everything
+MAX_KEPT_PAYLOADS = 32  # subscribers are at the same place but for a few
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Sent:
+    """How far a subscriber has been told."""
+
+    complete: bool = True
+    revision: int = 0
+    applied_index: int = 0
+    table_version: int = 0
+    entry_count: int = 0
 
 
 class Publisher:
@@ -33,8 +48,10 @@
         self._agreed = agreed
         self._members = members
         self._endpoints = endpoints
+        self._payload_by_step: dict[tuple[_Sent, _Sent], bytes] = {}
+        self._groups_by_index: dict[int, dict[str, updates.GroupNews]] = {}
         self._pending: list[directory.Heard] = []
-        self._pending_grew = asyncio.Event()
+        self._has_change = asyncio.Event()
         self._changed = asyncio.Event()
 
     def on_change(self) -> None:
@@ -63,14 +80,15 @@
     def announce(self, told: directory.Announcement) -> None:
         """Take an endpoint's announcement, and spread it."""
         heard = directory.Heard(announcement=told, age_s=0.0)
+        revision = self._endpoints.revision
         if self._endpoints.take(heard):
-            self._pend(heard)
+            self._pend(heard, is_change=self._endpoints.revision > revision)
 
     def leave(self, endpoint_id: str) -> bool:
         """Take an endpoint for gone; return whether it was known."""
         heard = self._endpoints.leave(endpoint_id)
         if heard is not None:
-            self._pend(heard)
+            self._pend(heard, is_change=True)
         return heard is not None
 
     def born_ms(self, endpoint_id: str) -> int | None:
@@ -78,17 +96,27 @@
         entry = self._endpoints.entry_by_id.get(endpoint_id)
         return entry.announcement.born_ms if entry is not None else None
 
-    def _pend(self, heard: directory.Heard) -> None:
+    def _pend(self, heard: directory.Heard, *, is_change: bool) -> None:
         self._pending.append(heard)
-        self._pending_grew.set()
+        if is_change:
+            self._has_change.set()
 
     async def _spread(self) -> None:
-        """Send announcements on to the other control nodes, in batches."""
+        """Send announcements on to the other control nodes, in batches.
+
+        Those that only say that nothing has changed may wait a little.
+        """
         while True:
-            await self._pending_grew.wait()
+            try:
+                async with self._env.timer.timeout(UNCHANGED_BATCH_S):
+                    await self._has_change.wait()
+            except TimeoutError:
+                pass  # what has not changed has waited long enough
             await self._env.timer.sleep(BATCH_S)
-            self._pending_grew.clear()
+            self._has_change.clear()
             batch, self._pending = self._pending, []
+            if not batch:
+                continue
             news = messages.EndpointNews(payload=updates.encode_heard(batch))
             for link in list(self._members.link_by_id.values()):
                 if link.peer.is_voter and link.is_connected:
@@ -119,43 +147,44 @@
     ) -> None:
         """Send updates to an entry until it cancels or is lost."""
         logs.log_event('subscriber_found', peer=peer.node_id)
-        sent_revision = 0
-        sent_index = 0
-        sent_version = body.table_version
-        sent_count = 0
-        complete = True
+        sent = _Sent(table_version=body.table_version)
         try:
             while True:
                 changed = self._changed
-                revision = self._endpoints.revision
-                index = self._agreed.applied_index
-                content = self._agreed.state.content
-                count = self._count_entries()
-                has_news = (revision, index, count) != (
-                    sent_revision,
-                    sent_index,
-                    sent_count,
-                )
-                if complete or has_news:
-                    update = self._make_update(
-                        complete=complete,
-                        after_revision=sent_revision,
-                        with_table=content.routes_version > sent_version,
-                        with_groups=index != sent_index,
-                    )
+                now = self._present(sent.table_version)
+                if now != sent:
                     await sink.send(
-                        messages.Update(payload=updates.encode_update(update))
+                        messages.Update(payload=self._encode(sent, now))
                     )
-                    complete = False
-                    sent_revision = revision
-                    sent_index = index
-                    sent_count = count
-                    sent_version = max(sent_version, content.routes_version)
+                    sent = now
                 await self._wait(changed)
                 await self._env.timer.sleep(BATCH_S)
         finally:
             logs.log_event('subscriber_lost', peer=peer.node_id)
 
+    def _present(self, table_version: int) -> '_Sent':
+        """Return how far a subscriber is that gets everything now."""
+        content = self._agreed.state.content
+        return _Sent(
+            complete=False,
+            revision=self._endpoints.revision,
+            applied_index=self._agreed.applied_index,
+            table_version=max(table_version, content.routes_version),
+            entry_count=self._count_entries(),
+        )
+
+    def _encode(self, sent: '_Sent', now: '_Sent') -> bytes:
+        """Return the update between two states, encoded once for all."""
+        if sent.applied_index not in self._groups_by_index:
+            sent = _Sent(table_version=sent.table_version)
+        payload = self._payload_by_step.get((sent, now))
+        if payload is None:
+            payload = updates.encode_update(self._make_update(sent, now))
+            if len(self._payload_by_step) >= MAX_KEPT_PAYLOADS:
+                self._payload_by_step.clear()
+            self._payload_by_step[sent, now] = payload
+        return payload
+
     async def _wait(self, changed: asyncio.Event) -> None:
         try:
             async with self._env.timer.timeout(1.0):
@@ -172,38 +201,55 @@
             ]
         )
 
-    def _make_update(
-        self,
-        *,
-        complete: bool,
-        after_revision: int,
-        with_table: bool,
-        with_groups: bool,
-    ) -> updates.FleetUpdate:
+    def _make_update(self, sent: '_Sent', now: '_Sent') -> updates.FleetUpdate:
         content = self._agreed.state.content
-        groups = ()
-        if with_groups or complete:
-            groups = tuple(
-                updates.GroupNews(
-                    group_id=group.group_id,
-                    service=group.service,
-                    model=group.model,
-                    epoch=group.fencing,
-                    member_ids=tuple(m.endpoint_id for m in group.members),
-                )
-                for group in content.group_ledger.groups()
-                if group.members
-            )
+        changed, ended = self._group_changes(sent, now)
+        has_table = now.table_version > sent.table_version
         return updates.FleetUpdate(
-            complete=complete,
-            applied_index=self._agreed.applied_index,
+            complete=sent.complete,
+            applied_index=now.applied_index,
             table_version=content.routes_version,
-            entry_count=self._count_entries(),
-            table=content.routes_table if with_table else b'',
+            entry_count=now.entry_count,
+            table=content.routes_table if has_table else b'',
             taken_out=tuple(content.taken_out),
-            groups=groups,
+            changed_groups=changed,
+            ended_groups=ended,
             endpoints=tuple(
                 updates.EndpointNews(heard=heard, lost=lost)
-                for heard, lost in self._endpoints.heard_since(after_revision)
+                for heard, lost in self._endpoints.heard_since(sent.revision)
             ),
         )
+
+    def _group_changes(
+        self, sent: '_Sent', now: '_Sent'
+    ) -> tuple[tuple[updates.GroupNews, ...], tuple[str, ...]]:
+        """Return the groups that differ between two entries of the log."""
+        self._note_groups(now.applied_index)
+        present = self._groups_by_index[now.applied_index]
+        before = self._groups_by_index.get(sent.applied_index, {})
+        if sent.complete:
+            before = {}
+        changed = tuple(
+            group
+            for group_id, group in present.items()
+            if before.get(group_id) != group
+        )
+        return changed, tuple(before.keys() - present.keys())
+
+    def _note_groups(self, index: int) -> None:
+        """Keep the groups as they are, to compare with later ones."""
+        if index in self._groups_by_index:
+            return
+        while len(self._groups_by_index) >= MAX_KEPT_INDEXES:
+            del self._groups_by_index[next(iter(self._groups_by_index))]
+        self._groups_by_index[index] = {
+            group.group_id: updates.GroupNews(
+                group_id=group.group_id,
+                service=group.service,
+                model=group.model,
+                epoch=group.fencing,
+                member_ids=tuple(m.endpoint_id for m in group.members),
+            )
+            for group in self._agreed.state.content.group_ledger.groups()
+            if group.members
+        }
--- a/packages/fleet/src/apricotthread/fleet/updates.py
+++ b/packages/fleet/src/apricotthread/fleet/updates.py
@@ -5,7 +5,9 @@
 from apricotthread.endpoints import directory
 
 
-class GroupNews(msgspec.Struct, frozen=True, kw_only=True):
+class GroupNews(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True
+):
     """A group by the ledger; the first member is the head."""
 
     group_id: str
@@ -15,7 +17,9 @@
     member_ids: tuple[str, ...]
 
 
-class EndpointNews(msgspec.Struct, frozen=True, kw_only=True):
+class EndpointNews(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True
+):
     """An endpoint that has changed, and whether it has gone silent."""
 
     heard: directory.Heard
@@ -35,7 +39,8 @@
     entry_count: int
     table: bytes = b''
     taken_out: tuple[str, ...] = ()
-    groups: tuple[GroupNews, ...] = ()
+    changed_groups: tuple[GroupNews, ...] = ()
+    ended_groups: tuple[str, ...] = ()
     endpoints: tuple[EndpointNews, ...] = ()
 
 
--- a/packages/fleet/src/apricotthread/fleet/view.py
+++ b/packages/fleet/src/apricotthread/fleet/view.py
@@ -59,6 +59,9 @@
         self.applied_index = -1
         self.table: routetables.RouteTable | None = None
         self.taken_out: frozenset[str] = frozenset()
+        self._groups_by_control: dict[
+            str, dict[str, updates.GroupNews]
+        ] = {}
         self.groups: tuple[updates.GroupNews, ...] = ()
         self.entry_count = 1
         self.endpoint_by_id: dict[str, KnownEndpoint] = {}
@@ -76,6 +79,7 @@
     def disconnect(self, control_id: str) -> None:
         """Stop counting a control node."""
         self._connected.discard(control_id)
+        self._groups_by_control.pop(control_id, None)
         for known in self.endpoint_by_id.values():
             known.lost_by.discard(control_id)
         self._replicas_by_service.clear()
@@ -83,17 +87,23 @@
     def take(self, control_id: str, update: updates.FleetUpdate) -> None:
         """Join an update of one control node."""
         self.heard_at = self._env.timer.now()
+        groups = self._groups_by_control.setdefault(control_id, {})
         if update.complete:
+            groups.clear()
             for known in self.endpoint_by_id.values():
                 known.lost_by.discard(control_id)
         for news in update.endpoints:
             self._take_endpoint(control_id, news)
         if update.table:
             self._take_table(update)
+        for group in update.changed_groups:
+            groups[group.group_id] = group
+        for group_id in update.ended_groups:
+            groups.pop(group_id, None)
         if update.applied_index > self.applied_index:
             self.applied_index = update.applied_index
             self.taken_out = frozenset(update.taken_out)
-            self.groups = update.groups
+            self.groups = tuple(groups.values())
         self.entry_count = max(1, update.entry_count)
         self._replicas_by_service.clear()
 
--- a/packages/gateway/src/apricotthread/gateway/sightings.py
+++ b/packages/gateway/src/apricotthread/gateway/sightings.py
@@ -11,7 +11,8 @@
 from apricotthread.nodes import membership
 from apricotthread.nodes import messages
 
-REPORT_PERIOD_S = 0.1
+REPORT_PERIOD_S = 0.5
+URGENT_PERIOD_S = 0.05  # when a group has stalled just now
 OLDEST_SIGHT_S = 3.0
 REACH_TIMEOUT_S = 0.5  # a VM that is up accepts within milliseconds
 GAP_WEIGHT = 0.1  # of the newest gap in the mean of a group
@@ -49,6 +50,7 @@
         self._sight_by_group: dict[tuple[str, int], _Sight] = {}
         self._reaching: dict[str, asyncio.Task] = {}
         self.has_callers = False
+        self._is_urgent = asyncio.Event()
 
     def _of(self, replica: view.Replica) -> _Sight:
         return self._sight_by_group.setdefault(
@@ -85,6 +87,7 @@
         """Remember that a group has gone silent; see if its head is up."""
         sight = self._of(replica)
         sight.stalled_at = self._env.timer.now()
+        self._is_urgent.set()
         if replica.address not in self._reaching:
             logs.log_event(
                 'group_stalled',
@@ -105,6 +108,7 @@
                 connection = await self._pool.open_new(replica.address)
         except (connections.ConnectionLost, TimeoutError):
             sight.unreachable_at = self._env.timer.now()
+            self._is_urgent.set()
             logs.log_event(
                 'head_unreachable',
                 group=replica.group_id,
@@ -128,12 +132,24 @@
         return self._env.timer.now() - sight.progressed_at < EJECT_S
 
     async def run(self) -> None:
-        """Send reports to the control nodes until cancelled."""
-        async for now in self._env.timer.subscribe(period_s=REPORT_PERIOD_S):
-            payload = evidence.encode_report(self._make_report(now))
+        """Send reports to a control node until cancelled.
+
+        It passes them on to the leader.
+        """
+        while True:
+            try:
+                async with self._env.timer.timeout(REPORT_PERIOD_S):
+                    await self._is_urgent.wait()
+            except TimeoutError:
+                pass  # the time of a usual report has come
+            self._is_urgent.clear()
+            report = self._make_report(self._env.timer.now())
+            payload = evidence.encode_report(report)
             for link in list(self._members.link_by_id.values()):
                 if link.peer.is_voter and link.is_connected:
                     await link.send(messages.Evidence(payload=payload))
+                    break
+            await self._env.timer.sleep(URGENT_PERIOD_S)
 
     def _make_report(self, now: float) -> evidence.EntryReport:
         groups = []
--- a/packages/groups/src/apricotthread/groups/formation.py
+++ b/packages/groups/src/apricotthread/groups/formation.py
@@ -14,8 +14,8 @@
 from apricotthread.endpoints import directory
 from apricotthread.fleet import evidence
 
-# Entries report what they see five times a second.
-PROGRESS_S = 1.0
+# Entries report what they see twice a second.
+PROGRESS_S = 1.5
 UNREACHABLE_S = 3.0
 SPARES_BY_DOMAIN = 2  # a second VM may be lost right after a repair
 # With so many groups one more gains less than a repair without a spare,
--- a/packages/nodes/src/apricotthread/nodes/discovery.py
+++ b/packages/nodes/src/apricotthread/nodes/discovery.py
@@ -1,6 +1,7 @@
 """Finds control nodes from seeds, and forgets those that are gone."""
 
 import collections.abc
+import hashlib
 
 from apricotthread.base import environment
 from apricotthread.base import logs
@@ -10,6 +11,9 @@
 from apricotthread.nodes import messages
 
 ASK_PERIOD_S = 1.0
+# An entry needs one link; others take over when it fails.
+MAX_LINKS_OF_ENTRY = 3
+AVOID_S = 5.0  # how long a control node that did not answer is passed over
 FORGET_AFTER_S = 30.0  # longer than any restart on the users' platform
 
 
@@ -17,8 +21,10 @@
     """Keeps the links of a node to the control nodes that there are.
 
     Each node asks the control nodes it knows for those that they know.
-    A node that has been silent for long is forgotten, unless it is a seed
-    or votes.
+    Control nodes link to all others. An entry links to few, one of its own
+    data centre first, so that links do not grow with the fleet. A node
+    that has been silent for long is forgotten, unless it is a seed or
+    votes.
     """
 
     def __init__(
@@ -38,6 +44,8 @@
         self._on_link = on_link
         self._on_gone = on_gone
         self._heard_at_by_id: dict[str, float] = {}
+        self._known_by_id: dict[str, settings.NodeAddress] = {}
+        self._avoid_until_by_id: dict[str, float] = {}
 
     def set_seeds(
         self, seeds: collections.abc.Iterable[settings.NodeAddress]
@@ -60,6 +68,8 @@
                     await self._ask(link)
                 else:
                     self._forget_if_gone(node_id, now)
+            if not self._members.own.is_voter:
+                self._choose_links(now)
 
     async def _ask(self, link: links.PeerLink) -> None:
         if not link.peer.is_voter:
@@ -72,7 +82,61 @@
                 for node in nodes:
                     self._add(_make_address(node))
 
+    def _choose_links(self, now: float) -> None:
+        """Keep links to the few control nodes that suit an entry best."""
+        known = self._known_by_id
+        linked = self._members.link_by_id
+        if len(known) <= MAX_LINKS_OF_ENTRY and set(linked) <= set(known):
+            return
+        for node_id, link in list(linked.items()):
+            if link.is_connected:
+                self._avoid_until_by_id.pop(node_id, None)
+            elif now - self._heard_at_by_id.get(node_id, now) > ASK_PERIOD_S:
+                self._avoid_until_by_id[node_id] = now + AVOID_S
+        wanted = self._rank(now)[:MAX_LINKS_OF_ENTRY]
+        for node_id in wanted:
+            self._link(known[node_id])
+        connected = [n for n in wanted if linked[n].is_connected]
+        if not connected:
+            return
+        for node_id in list(linked):
+            if node_id not in wanted:
+                self._drop(node_id)
+
+    def _rank(self, now: float) -> list[str]:
+        """Return the control nodes, the one to link to first at the front.
+
+        The first is of the own data centre if there is one, the next are
+        of others, so that no data centre's loss takes all.
+        """
+        own = self._members.own
+
+        def order(node: settings.NodeAddress) -> tuple[bool, bytes]:
+            avoided = self._avoid_until_by_id.get(node.node_id, 0.0) > now
+            pair = f'{own.node_id} {node.node_id}'.encode()
+            return avoided, hashlib.blake2b(pair, digest_size=8).digest()
+
+        ranked = sorted(self._known_by_id.values(), key=order)
+        near = [n for n in ranked if n.data_centre == own.data_centre]
+        far = [n for n in ranked if n.data_centre != own.data_centre]
+        chosen = [*near[:1], *far, *near[1:]]
+        chosen.sort(
+            key=lambda n: self._avoid_until_by_id.get(n.node_id, 0.0) > now
+        )
+        return [node.node_id for node in chosen]
+
     def _add(self, node: settings.NodeAddress) -> None:
+        """Take note of a node, and link to it unless there are enough."""
+        if node.node_id == self._members.own.node_id:
+            return
+        if node.data_centre or node.node_id not in self._known_by_id:
+            self._known_by_id[node.node_id] = node
+        is_entry = not self._members.own.is_voter
+        if is_entry and len(self._members.link_by_id) >= MAX_LINKS_OF_ENTRY:
+            return
+        self._link(node)
+
+    def _link(self, node: settings.NodeAddress) -> None:
         link = self._members.add_node(node)
         if link is None:
             return
@@ -87,7 +151,11 @@
         if node_id in self._seed_ids or self._is_voter(node_id):
             return
         logs.log_event('node_forgotten', peer=node_id)
-        del self._heard_at_by_id[node_id]
+        self._known_by_id.pop(node_id, None)
+        self._drop(node_id)
+
+    def _drop(self, node_id: str) -> None:
+        self._heard_at_by_id.pop(node_id, None)
         self._members.remove_node(node_id)
         self._on_gone(node_id)
 
