--- a/packages/base/src/apricotthread/base/logs.py
+++ b/packages/base/src/apricotthread/base/logs.py
@@ -12,6 +12,7 @@
 from apricotthread.base import errors
 
 MAX_WAITING_LINES = 2000
+MAX_REST_BYTES = 1 << 20  # of what a reader that has stopped did not take
 STANDARD_OUTPUT = 1
 
 
@@ -32,12 +33,18 @@
 
     def __call__(self, message: dict[str, typing.Any]) -> None:
         """Take one message, unless too many have come."""
-        if self._allowed < 1 or len(self._waiting) >= MAX_WAITING_LINES:
+        if (
+            self._allowed < 1
+            or len(self._waiting) >= MAX_WAITING_LINES
+            or len(self._rest) > MAX_REST_BYTES
+        ):
             self.left_out += 1
             return
         self._allowed -= 1
         self._waiting.append(
-            orjson.dumps(message, default=str, option=orjson.OPT_APPEND_NEWLINE)
+            orjson.dumps(
+                message, default=str, option=orjson.OPT_APPEND_NEWLINE
+            )
         )
 
     def refill(self, seconds: float) -> None:
--- a/packages/cli/src/apricotthread/cli/core.py
+++ b/packages/cli/src/apricotthread/cli/core.py
@@ -15,6 +15,7 @@
 from apricotthread.cli import context as contexts
 from apricotthread.cli.output import reports
 from apricotthread.cli import status
+from apricotthread.cli import stories
 from apricotthread.control import commands
 from apricotthread.control import tablecsv
 from apricotthread.control import tables
@@ -411,3 +412,31 @@
     node_settings.read_settings(file)
     context.print(f'{file}: all settings are right')
     return status.ExitStatus.SUCCESS
+
+
+async def explain_request(
+    context: contexts.Context, request_id: str, files: list[str]
+) -> status.ExitStatus:
+    """Print what was decided about a request, from the logs of nodes."""
+    lines = []
+    for file in files or ['-']:
+        if file == '-':
+            lines.extend(stories.read_lines(context.stdin, node=''))
+            continue
+        path = pathlib.Path(file)
+        try:
+            text = path.read_text(encoding='utf-8', errors='replace')
+        except OSError as error:
+            raise UsageError(f'{file}: {error.strerror}') from None
+        lines.extend(stories.read_lines(text.splitlines(), node=path.stem))
+    story = stories.tell_story(lines, request_id)
+    if not story:
+        context.print_error(
+            f'no line about request {request_id!r}: it was answered, and '
+            'answered requests are written out now and then only; or its '
+            'node is not among the logs'
+        )
+        return status.ExitStatus.FAILURE
+    for line in story:
+        context.print(str(line))
+    return status.ExitStatus.SUCCESS
--- a/packages/cli/src/apricotthread/cli/definition.py
+++ b/packages/cli/src/apricotthread/cli/definition.py
@@ -37,6 +37,7 @@
             'groups': self.show_groups,
             'audit': self.show_audit,
             'settings': {'check': self.settings_check},
+            'explain': self.explain_request,
         }
 
     def _run(self, job) -> status.ExitStatus:
@@ -332,6 +333,21 @@
             )
         )
 
+    def explain_request(
+        self, request_id: str, *files: str, debug: bool = False
+    ) -> status.ExitStatus:
+        """Print what was decided about one request, and what was believed.
+
+        Example: apricotthread explain 9c41d07be2a35f68 north-1.log
+
+        :param request_id: the id of the request, as its caller sent it
+        :param files: logs of nodes; standard input without any
+        :param debug: print tracebacks
+        """
+        return self._run(
+            core.explain_request(self._context, request_id, list(files))
+        )
+
     def settings_check(
         self, file: str, *, debug: bool = False
     ) -> status.ExitStatus:
--- a/packages/control/src/apricotthread/control/admissions.py
+++ b/packages/control/src/apricotthread/control/admissions.py
@@ -40,7 +40,10 @@
     async def run(self) -> None:
         """Look for a change that is due until cancelled."""
         async for _ in self._env.timer.subscribe(period_s=CHECK_PERIOD_S):
-            if not self._agreed.holds_lease() or not self._agreed.has_settled():
+            if (
+                not self._agreed.holds_lease()
+                or not self._agreed.has_settled()
+            ):
                 continue
             command = self.next_change()
             if command is None:
@@ -128,9 +131,11 @@
     def _data_centre(self, node_id: str) -> str:
         link = self._members.link_by_id.get(node_id)
         if link is None or link.peer_greeting is None:
-            return self._members.node_by_id[
-                node_id
-            ].data_centre if node_id in self._members.node_by_id else ''
+            return (
+                self._members.node_by_id[node_id].data_centre
+                if node_id in self._members.node_by_id
+                else ''
+            )
         return link.peer_greeting.data_centre
 
     def _has_other_disk(self, voter: str, disk_id: str) -> bool:
@@ -157,9 +162,7 @@
             and known.match_index >= self._agreed.commit_index > 0
         )
 
-    def _can_spare(
-        self, voter: str, disk_by_voter: dict[str, str]
-    ) -> bool:
+    def _can_spare(self, voter: str, disk_by_voter: dict[str, str]) -> bool:
         """Whether the others still have a live majority without one."""
         rest = [v for v in disk_by_voter if v != voter]
         live = [
--- a/packages/daemon/src/apricotthread/daemon/controlservice.py
+++ b/packages/daemon/src/apricotthread/daemon/controlservice.py
@@ -34,9 +34,7 @@
         published: publisher.Publisher,
         link_by_id: dict[str, links.PeerLink],
         data_centres: collections.abc.Iterable[str],
-        get_table: collections.abc.Callable[
-            [], routetables.RouteTable | None
-        ],
+        get_table: collections.abc.Callable[[], routetables.RouteTable | None],
     ) -> None:
         self._env = env
         self._own_id = own_id
@@ -179,9 +177,7 @@
         Raises ApricotError with code BAD_REQUEST for an unknown service.
         """
         table = self._get_table()
-        if table is not None and (
-            told.service not in table.service_by_name()
-        ):
+        if table is not None and (told.service not in table.service_by_name()):
             raise errors.ApricotError(
                 code=errors.ErrorCode.BAD_REQUEST,
                 message=f'{told.endpoint_id!r} announces the unknown service '
--- a/packages/daemon/src/apricotthread/daemon/main.py
+++ b/packages/daemon/src/apricotthread/daemon/main.py
@@ -16,9 +16,7 @@
 SETTINGS_VARIABLE = 'APRICOTTHREAD_NODE_FILE'
 
 
-def run_node(
-    *, settings: str = '', check: bool = False
-) -> status.ExitStatus:
+def run_node(*, settings: str = '', check: bool = False) -> status.ExitStatus:
     """Run one node until it is told to stop by SIGTERM.
 
     Example: apricotthread-node --settings a1.ini
--- a/packages/daemon/src/apricotthread/daemon/node.py
+++ b/packages/daemon/src/apricotthread/daemon/node.py
@@ -29,9 +29,9 @@
 from apricotthread.nodes import messages
 from apricotthread.nodes import server
 from apricotthread.operators import application as operator_application
+from apricotthread.operators import health
 from apricotthread.operators import localmarks
 from apricotthread.operators import overview as overviews
-from apricotthread.operators import health
 from apricotthread.routing import buffers
 from apricotthread.routing import credits
 from apricotthread.routing import dispatcher
--- a/packages/endpoints/src/apricotthread/endpoints/connections.py
+++ b/packages/endpoints/src/apricotthread/endpoints/connections.py
@@ -255,9 +255,7 @@
 class ConnectionPool:
     """Opens connections to endpoints, and keeps them for reuse."""
 
-    def __init__(
-        self, *, env: environment.Environment, max_idle: int
-    ) -> None:
+    def __init__(self, *, env: environment.Environment, max_idle: int) -> None:
         self._env = env
         self._max_idle = max_idle
         self._idle_by_address: dict[str, list[EndpointConnection]] = (
@@ -291,9 +289,7 @@
         try:
             async with self._env.timer.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: EndpointConnection(
-                        env=self._env, address=address
-                    ),
+                    lambda: EndpointConnection(env=self._env, address=address),
                     host,
                     int(port),
                 )
--- a/packages/endpoints/src/apricotthread/endpoints/directory.py
+++ b/packages/endpoints/src/apricotthread/endpoints/directory.py
@@ -23,9 +23,7 @@
     BROKEN = 'broken'
 
 
-class GroupPlace(
-    msgspec.Struct, frozen=True, kw_only=True, array_like=True
-):
+class GroupPlace(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """The group that an engine VM says it belongs to."""
 
     group_id: str
@@ -34,9 +32,7 @@
     state: MemberState
 
 
-class Announcement(
-    msgspec.Struct, frozen=True, kw_only=True, array_like=True
-):
+class Announcement(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """What an endpoint says of itself.
 
     A later start of an endpoint has a greater birth time, a later
@@ -63,9 +59,7 @@
         return (self.born_ms, self.sequence)
 
 
-class Heard(
-    msgspec.Struct, frozen=True, kw_only=True, array_like=True
-):
+class Heard(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """An announcement, and how long ago a control node heard it.
 
     An endpoint that said it leaves at once is gone.
@@ -214,9 +208,10 @@
                 self._note(entry, 'endpoint_lost')
             if silent_s > FORGET_GONE_AFTER_S and (entry.gone or entry.lost):
                 del self.entry_by_id[endpoint_id]
-                if self.id_by_address.get(
-                    entry.announcement.address
-                ) == endpoint_id:
+                if (
+                    self.id_by_address.get(entry.announcement.address)
+                    == endpoint_id
+                ):
                     del self.id_by_address[entry.announcement.address]
 
     def _forgive_pause(self, now: float) -> None:
@@ -257,9 +252,7 @@
 def _differs(new: Announcement, old: Announcement) -> bool:
     """Whether more has changed than sequence and cold time."""
     return (
-        msgspec.structs.replace(
-            new, sequence=old.sequence, cold_s=old.cold_s
-        )
+        msgspec.structs.replace(new, sequence=old.sequence, cold_s=old.cold_s)
         != old
         or (new.cold_s > 0) != (old.cold_s > 0)
         or new.cold_s > old.cold_s
--- a/packages/fleet/src/apricotthread/fleet/evidence.py
+++ b/packages/fleet/src/apricotthread/fleet/evidence.py
@@ -7,9 +7,7 @@
 from apricotthread.base import environment
 
 
-class GroupSight(
-    msgspec.Struct, frozen=True, kw_only=True, array_like=True
-):
+class GroupSight(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """What one entry has seen of a group's head.
 
     A group makes progress only while all its members work. Ages are in
@@ -25,9 +23,7 @@
     slowness: float = 1.0
 
 
-class EntryReport(
-    msgspec.Struct, frozen=True, kw_only=True, array_like=True
-):
+class EntryReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """The sights of one entry, and whether callers have come to it."""
 
     data_centre: str
--- a/packages/fleet/src/apricotthread/fleet/updates.py
+++ b/packages/fleet/src/apricotthread/fleet/updates.py
@@ -5,9 +5,7 @@
 from apricotthread.endpoints import directory
 
 
-class GroupNews(
-    msgspec.Struct, frozen=True, kw_only=True, array_like=True
-):
+class GroupNews(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """A group by the ledger; the first member is the head."""
 
     group_id: str
@@ -17,9 +15,7 @@
     member_ids: tuple[str, ...]
 
 
-class EndpointNews(
-    msgspec.Struct, frozen=True, kw_only=True, array_like=True
-):
+class EndpointNews(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """An endpoint that has changed, and whether it has gone silent."""
 
     heard: directory.Heard
--- a/packages/fleet/src/apricotthread/fleet/view.py
+++ b/packages/fleet/src/apricotthread/fleet/view.py
@@ -59,9 +59,7 @@
         self.applied_index = -1
         self.table: routetables.RouteTable | None = None
         self.taken_out: frozenset[str] = frozenset()
-        self._groups_by_control: dict[
-            str, dict[str, updates.GroupNews]
-        ] = {}
+        self._groups_by_control: dict[str, dict[str, updates.GroupNews]] = {}
         self.groups: tuple[updates.GroupNews, ...] = ()
         self.entry_count = 1
         self.endpoint_by_id: dict[str, KnownEndpoint] = {}
--- a/packages/gateway/src/apricotthread/gateway/events.py
+++ b/packages/gateway/src/apricotthread/gateway/events.py
@@ -58,7 +58,9 @@
         if start < 0 or (start > 0 and event[start - 1 : start] != b'\n'):
             return True
         line_end = event.find(b'\n', start)
-        text = event[start + len(ID_FIELD) : line_end if line_end > 0 else None]
+        text = event[
+            start + len(ID_FIELD) : line_end if line_end > 0 else None
+        ]
         try:
             event_id = int(text)
         except ValueError:
--- a/packages/gateway/src/apricotthread/gateway/forwarder.py
+++ b/packages/gateway/src/apricotthread/gateway/forwarder.py
@@ -134,7 +134,8 @@
             self._make_candidate(job, replica)
             for replica in self._fleet.replicas(job.service.name)
             if replica.endpoint_id not in state.tried
-            and replica.model == (job.caller.model if job.service.engine else '')
+            and replica.model
+            == (job.caller.model if job.service.engine else '')
         ]
         time_left_s = job.deadline - self._env.timer.now()
         engine = job.service.engine
@@ -491,9 +492,7 @@
                 self._check_answer(job, replica, answer)
                 if not 200 <= answer.status < 300:
                     body, is_whole = await self._read_body(connection)
-                    raise self._judge_status(
-                        replica, answer, body, is_whole
-                    )
+                    raise self._judge_status(replica, answer, body, is_whole)
                 await self._pass_events(attempt, answer, sink, splitter)
                 self._loads.note_success(replica.endpoint_id)
             except connections.ConnectionLost:
--- a/packages/gateway/src/apricotthread/gateway/stallwatch.py
+++ b/packages/gateway/src/apricotthread/gateway/stallwatch.py
@@ -88,9 +88,7 @@
             return False
         has_begun = attempt.connection.received_at >= attempt.started_at
         if not self._fleet.is_replica(attempt.replica):
-            known = self._fleet.endpoint_by_id.get(
-                attempt.replica.endpoint_id
-            )
+            known = self._fleet.endpoint_by_id.get(attempt.replica.endpoint_id)
             leaves = known is not None and known.told.leaving
             if not leaves or silent_s > SILENT_GROUP_S:
                 return True
--- a/packages/groups/src/apricotthread/groups/formation.py
+++ b/packages/groups/src/apricotthread/groups/formation.py
@@ -149,8 +149,8 @@
     where a large one stands already, so that they do not take its room.
 
     `warm_models` holds the model that each VM, by id and birth, has been
-    ready for last; `broken_heads` holds, by group id and epoch, since when a head that is
-    silent has stood still because the other members have left it.
+    ready for last; `broken_heads` holds, by group id and epoch, since when
+    a head that is silent has stood still, as the others have left it.
     """
 
     service: str
@@ -165,9 +165,7 @@
     broken_heads: dict[tuple[str, int], float]
     warm_models: dict[tuple[str, int], str]
     last_epoch: int
-    evidence_of: collections.abc.Callable[
-        [str, int], evidence.GroupEvidence
-    ]
+    evidence_of: collections.abc.Callable[[str, int], evidence.GroupEvidence]
     steps: list[Step] = dataclasses.field(default_factory=list)
 
     def plan(self) -> list[Step]:
@@ -300,8 +298,7 @@
     def _bring_up(self, group: ledger.Group, vms: list[Vm]) -> None:
         places = [vm.place_in(group) for vm in vms]
         if any(
-            place is not None
-            and place.state is directory.MemberState.BROKEN
+            place is not None and place.state is directory.MemberState.BROKEN
             for place in places
         ):
             self._renew(group, vms, 'the head is broken')
@@ -421,9 +418,7 @@
         )
         return self.now - since < self.stall_s
 
-    def _take_apart(
-        self, group: ledger.Group, vms: list[Vm | None]
-    ) -> None:
+    def _take_apart(self, group: ledger.Group, vms: list[Vm | None]) -> None:
         """Replace lost members, or end the group where none can."""
         only_leaving = all(
             vm is not None and not vm.lost and not vm.gone for vm in vms
@@ -625,9 +620,7 @@
         lost_groups, _, domain = min(choices)
         return domain, lost_groups > 0
 
-    def _spares(
-        self, model: routetables.ModelProfile, domain: str
-    ) -> int:
+    def _spares(self, model: routetables.ModelProfile, domain: str) -> int:
         """Return how many VMs a new group has to leave in its domain."""
         if self._count_by_model[model.name] < GROUPS_BEFORE_SPARES:
             return 0
@@ -742,4 +735,3 @@
                 self.steps.append(
                     Warm(vm=vm, model=model, epoch=self.last_epoch)
                 )
-
--- a/packages/groups/src/apricotthread/groups/formationmanager.py
+++ b/packages/groups/src/apricotthread/groups/formationmanager.py
@@ -76,9 +76,7 @@
         endpoints: directory.Directory,
         seen: evidence.EvidenceStore,
         slow_ids: collections.abc.Set[str],
-        get_table: collections.abc.Callable[
-            [], routetables.RouteTable | None
-        ],
+        get_table: collections.abc.Callable[[], routetables.RouteTable | None],
         sender: OrderSender,
         stall_s: float,
     ) -> None:
--- a/tests/platformstandin.py
+++ b/tests/platformstandin.py
@@ -81,9 +81,7 @@
 
     async def start(self):
         """Listen and announce."""
-        self._server = await asyncio.start_server(
-            self._serve, '127.0.0.1', 0
-        )
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
         host, port = self._server.sockets[0].getsockname()
         self.address = f'{host}:{port}'
         self._spawn(self._beat_often())
@@ -133,9 +131,7 @@
 
     async def _serve(self, reader, writer):
         self._tasks.add(asyncio.current_task())
-        with contextlib.suppress(
-            asyncio.IncompleteReadError, ConnectionError
-        ):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
                 first, *rest = head.decode().split('\r\n')
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -33,6 +33,7 @@
 
 def run(body):
     """Run a test body on a driven loop."""
+
     async def main():
         body()
 
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -1,8 +1,8 @@
 """The decisions of the gateway, each without a network."""
 
 import hypothesis
-import pytest
 from hypothesis import strategies
+import pytest
 
 from apricotthread.base import errors
 from apricotthread.control import routetables
@@ -39,9 +39,7 @@
     for start, end in zip(places, places[1:], strict=False):
         passed += splitter.feed(first[start:end])
     splitter.restart()
-    resumed = b''.join(
-        make_event(n) for n in range(splitter.last_id + 1, 13)
-    )
+    resumed = b''.join(make_event(n) for n in range(splitter.last_id + 1, 13))
     passed += splitter.feed(resumed)
     assert passed == whole
     assert splitter.is_between_events
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,8 +5,8 @@
 import re
 
 import hypothesis
-import pytest
 from hypothesis import strategies
+import pytest
 
 from apricotthread.base import errors
 from apricotthread.control import routetables
@@ -163,7 +163,9 @@
         lambda c: c['routes'][0].update({'timeout-ms': 0}),
         lambda c: c['routes'][1].update({'service': 'unknown'}),
         lambda c: c['routes'][1].update({'path-prefix': '/lots/'}),
-        lambda c: [s.update(weight=0) for s in c['routes'][0]['traffic-split']],
+        lambda c: [
+            s.update(weight=0) for s in c['routes'][0]['traffic-split']
+        ],
         lambda c: c['routes'][0].pop('host'),
         lambda c: c.update(version='7'),
         lambda c: c['tenants'].append({'name': 'b', 'api-keys': ['k1']}),
@@ -253,9 +255,7 @@
     }
     close = json.loads(
         orders.make_order(
-            formation.Close(
-                vm=vm, group_id='g', epoch=2, after_requests=True
-            ),
+            formation.Close(vm=vm, group_id='g', epoch=2, after_requests=True),
             fence=5,
         )
     )
