--- a/packages/gateway/src/apricotthread/gateway/sightings.py
+++ b/packages/gateway/src/apricotthread/gateway/sightings.py
@@ -86,15 +86,17 @@
     def note_stall(self, replica: view.Replica) -> None:
         """Remember that a group has gone silent; see if its head is up."""
         sight = self._of(replica)
-        sight.stalled_at = self._env.timer.now()
-        self._is_urgent.set()
-        if replica.address not in self._reaching:
+        now = self._env.timer.now()
+        if now - sight.stalled_at > EJECT_S:
             logs.log_event(
                 'group_stalled',
                 group=replica.group_id,
                 epoch=replica.epoch,
                 endpoint=replica.endpoint_id,
             )
+        sight.stalled_at = now
+        self._is_urgent.set()
+        if replica.address not in self._reaching:
             task = asyncio.create_task(self._reach(replica, sight))
             self._reaching[replica.address] = task
             task.add_done_callback(
