Close idle connections of a stopping entry once the balancer has noticed

Ruled out: the drain time; the request began too late for any. Change: when the balancer has noticed, the listener of callers stops: no new connections, idle ones closed, open answers end.

--- a/packages/daemon/src/apricotthread/daemon/fleetnode.py
+++ b/packages/daemon/src/apricotthread/daemon/fleetnode.py
@@ -188,7 +188,7 @@
         )
         if parts.done():
             parts.result()
-        await self._drain()
+        await self._drain(listening)
         for listener, _ in listening:
             listeners.stop_listener(listener)
         await listeners.wait_for_end(
@@ -275,8 +275,12 @@
             return 'no routing table yet'
         return ''
 
-    async def _drain(self) -> None:
-        """Serve on until the balancer has noticed and no request is open."""
+    async def _drain(self, listening: list) -> None:
+        """Serve on until the balancer has noticed, then end what is open.
+
+        Idle connections are closed after that moment, as a request that
+        came on one of them later could be cut off by the stop.
+        """
         logs.log_event('node_draining', node=self.settings.node_id)
         if self.control is not None:
             await self.control.agreed.resign()
@@ -285,6 +289,9 @@
         self.entry.application.draining = True
         started_at = self.env.timer.now()
         await self.env.timer.sleep(self.settings.ready_grace_s)
+        for listener, _ in listening:
+            if listener.config.app is self.entry.application:
+                listeners.stop_listener(listener)
         while self.entry.application.open_requests:
             if self.env.timer.now() - started_at > self.settings.drain_s:
                 logs.log_event(
--- a/tests/test_fleet_system.py
+++ b/tests/test_fleet_system.py
@@ -245,6 +245,40 @@
     play(body)
 
 
+def test_a_stopping_entry_closes_kept_connections_that_are_idle(play):
+    async def body(deployment):
+        host = deployment.entries[0]
+        reader, writer = await asyncio.open_connection(
+            host, deployment.caller_port
+        )
+        writer.write(
+            b'GET /reads/1 HTTP/1.1\r\nHost: a.example\r\n'
+            b'Attempt-Id: k-1\r\nX-Api-Key: k1\r\n\r\n'
+        )
+        head = await reader.readuntil(b'\r\n\r\n')
+        assert head.startswith(b'HTTP/1.1 200')
+        for worker in deployment.workers:
+            worker.events = 120
+        asking = asyncio.create_task(
+            deployment.ask(
+                host,
+                '/lots/1',
+                Attempt_Id='k-2',
+                Model='m0',
+                Token_Usage='10,80',
+            )
+        )
+        await asyncio.sleep(0.1)
+        stopping = asyncio.create_task(deployment.stop_node(host))
+        await asyncio.wait_for(reader.read(), 1.5)
+        assert reader.at_eof()
+        status, _, text = await asking
+        assert (status, text.count(b'data: piece')) == (200, 120)
+        assert await stopping == 0
+
+    play(body)
+
+
 def test_a_caller_that_leaves_frees_the_endpoint_at_once(play):
     async def body(deployment):
         for worker in deployment.workers:
