--- a/packages/base/src/apricotthread/base/settings.py
+++ b/packages/base/src/apricotthread/base/settings.py
@@ -572,7 +572,8 @@
     faults = []
     node_id = value_by_field.get('node_id', '')
     own = node_by_id.get(node_id)
-    if node_id and own is None:
+    is_fixed = 'seeds' not in value_by_field
+    if node_id and own is None and is_fixed:
         faults.append(
             SettingFault(
                 file=file,
@@ -606,7 +607,6 @@
             )
         )
     voters = [node for node in node_by_id.values() if node.is_voter]
-    is_fixed = 'seeds' not in value_by_field
     if is_fixed and node_by_id and len(voters) % 2 == 0:
         faults.append(
             SettingFault(
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,6 +1,7 @@
 """Settings files: every wrong line gets its error, all at once."""
 
 import pathlib
+import re
 import subprocess
 import sys
 
@@ -101,6 +102,83 @@
     settings.parse_settings(uncommented, file='example.ini')
 
 
+def test_the_example_of_a_fleet_documents_every_key():
+    example = pathlib.Path('docs/example-fleet.ini').read_text()
+    for key in settings.DISCOVERY_KEYS:
+        assert f'{key.key} =' in example, key.key
+    uncommented = '\n'.join(
+        line.removeprefix('# ') if ' = ' in line else line
+        for line in example.splitlines()
+    )
+    read = settings.parse_settings(uncommented, file='example-fleet.ini')
+    assert len(read.discovery.seeds) == 3
+    assert read.discovery.seeds[0].peer_port == 7340
+    assert read.own.is_voter and read.own.is_entry
+    assert read.discovery.data_centres == ('north', 'middle', 'south')
+
+
+def test_wrong_lines_of_a_fleet_are_all_reported():
+    example = pathlib.Path('docs/example-fleet.ini').read_text()
+    wrong = (
+        example.replace('first_start = false', 'first_start = perhaps')
+        .replace('peer_port = 7340', 'peer_port = 0')
+        .replace('roles = entry,control', 'roles = king')
+    )
+    with pytest.raises(settings.SettingsError) as refused:
+        settings.parse_settings(wrong, file='a.ini')
+    assert {fault.key for fault in refused.value.faults} == {
+        'first_start',
+        'peer_port',
+        'roles',
+    }
+
+
+def test_a_control_node_of_a_fleet_needs_a_data_folder():
+    example = pathlib.Path('docs/example-fleet.ini').read_text()
+    wrong = example.replace('data_folder = /var/lib/apricotthread', '')
+    with pytest.raises(settings.SettingsError) as refused:
+        settings.parse_settings(wrong, file='a.ini')
+    assert refused.value.faults[0].key == 'data_folder'
+
+
+def test_the_template_of_the_platform_gives_settings_that_are_right():
+    """Fill the template in as the platform's page says."""
+    template = pathlib.Path('deploy/node.ini.tmpl').read_text()
+    template = re.sub(
+        r'{{\^listen-addrs.control}}.*?{{/listen-addrs.control}}\n',
+        '',
+        template,
+        flags=re.DOTALL,
+    )
+    template = re.sub(r'{{[#/]listen-addrs.control}}\n', '', template)
+    value_by_place = {
+        'ip': '10.1.0.43',
+        'zone': 'north',
+        'data-path': '/data/control',
+        'listen-addrs.front': '',
+        'listen-addrs.ready': '',
+        'listen-addrs.control': '10.1.0.43:8229',
+        'seed-nodes': '10.1.0.43:8229,10.2.0.31:8229',
+        'bootstrap': 'true',
+        '#zones}}{{@}},{{/zones': 'north,south,',
+        'port-range.0': '7340',
+        'node-role': 'control',
+        'fault-tolerance.machines': '1',
+        'bounds.retry-budget-ratio': '0.2',
+        'bounds.budget-slack': '132',
+        'bounds.budget-window-s': '10',
+        'bounds.cold-overshoot': '1.5',
+    }
+    for place, value in value_by_place.items():
+        template = template.replace('{{' + place + '}}', value)
+    assert '{{' not in template
+    read = settings.parse_settings(template, file='node.ini')
+    assert read.discovery.control_address.port == 8229
+    assert read.discovery.caller_address is None
+    assert read.discovery.first_start
+    assert read.discovery.retry_slack == 132
+
+
 def test_the_daemon_exits_64_when_typed_wrongly():
     daemon = pathlib.Path(sys.executable).with_name('apricotthread-node')
     done = subprocess.run(
