Count the entries of the whole fleet for bounds in sum

Ruled out: the announcement of cold workers (known in time). Change: the leader counts the entries by their reports and tells the count in its heartbeat; a part below one is a chance of one.

--- a/packages/daemon/src/apricotthread/daemon/fleetnode.py
+++ b/packages/daemon/src/apricotthread/daemon/fleetnode.py
@@ -161,6 +161,7 @@
             version=0,
             capacities=[],
             vms=[],
+            entries=self.control.seen.count_entries() if self.control else 0,
         )
 
     # Running
@@ -370,13 +371,14 @@
             lost_after_s=settings.endpoint_lease_s,
             on_change=self._on_change,
         )
+        self.seen = evidence.EvidenceStore(env=env)
         self.published = publisher.Publisher(
             env=env,
             agreed=self.agreed,
             members=members,
             endpoints=self.endpoints,
+            seen=self.seen,
         )
-        self.seen = evidence.EvidenceStore(env=env)
         self.keeper = admissions.AdmissionKeeper(
             env=env,
             agreed=self.agreed,
--- a/packages/fleet/src/apricotthread/fleet/evidence.py
+++ b/packages/fleet/src/apricotthread/fleet/evidence.py
@@ -26,6 +26,7 @@
 class EntryReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """The sights of one entry, and whether callers have come to it."""
 
+    entry_id: str
     data_centre: str
     has_callers: bool
     groups: tuple[GroupSight, ...] = ()
@@ -45,6 +46,8 @@
 
 
 NEVER = float('-inf')
+# An entry that may still send counts for longer than it takes to notice it.
+ENTRY_LEASE_S = 5.0
 SLOWNESS = 2.0  # a group is as slow as its slowest member
 
 
@@ -65,12 +68,19 @@
     def __init__(self, *, env: environment.Environment) -> None:
         self._env = env
         self._evidence_by_group: dict[tuple[str, int], GroupEvidence] = {}
+        self._heard_at_by_entry: dict[str, float] = {}
         self.has_callers = False
 
+    def count_entries(self) -> int:
+        """Return how many entries have reported lately."""
+        oldest = self._env.timer.now() - ENTRY_LEASE_S
+        return sum(at >= oldest for at in self._heard_at_by_entry.values())
+
     def take(self, report: EntryReport) -> None:
         """Join a report that has just come."""
         now = self._env.timer.now()
         self.has_callers = self.has_callers or report.has_callers
+        self._heard_at_by_entry[report.entry_id] = now
         for sight in report.groups:
             known = self._evidence_by_group.setdefault(
                 (sight.group_id, sight.epoch), GroupEvidence()
--- a/packages/fleet/src/apricotthread/fleet/publisher.py
+++ b/packages/fleet/src/apricotthread/fleet/publisher.py
@@ -10,6 +10,7 @@
 from apricotthread.base import logs
 from apricotthread.control import replica
 from apricotthread.endpoints import directory
+from apricotthread.fleet import evidence
 from apricotthread.fleet import updates
 from apricotthread.nodes import membership
 from apricotthread.nodes import messages
@@ -43,11 +44,13 @@
         agreed: replica.Replica,
         members: membership.Membership,
         endpoints: directory.Directory,
+        seen: evidence.EvidenceStore,
     ) -> None:
         self._env = env
         self._agreed = agreed
         self._members = members
         self._endpoints = endpoints
+        self._seen = seen
         self._payload_by_step: dict[tuple[_Sent, _Sent], bytes] = {}
         self._groups_by_index: dict[int, dict[str, updates.GroupNews]] = {}
         self._pending: list[directory.Heard] = []
@@ -170,7 +173,7 @@
             revision=self._endpoints.revision,
             applied_index=self._agreed.applied_index,
             table_version=max(table_version, content.routes_version),
-            entry_count=self._count_entries(),
+            entry_count=self.count_entries(),
         )
 
     def _encode(self, sent: '_Sent', now: '_Sent') -> bytes:
@@ -192,14 +195,19 @@
         except TimeoutError:
             pass  # the number of entries is looked at once a second
 
-    def _count_entries(self) -> int:
-        return len(
-            [
-                node_id
-                for node_id in self._members.fresh_heartbeats()
-                if node_id not in self._members.link_by_id
-            ]
+    def count_entries(self) -> int:
+        """Return how many entries there are in the whole fleet.
+
+        The leader knows from their reports, the others from its
+        heartbeat; without either, the entries that link here are counted.
+        """
+        linked = sum(
+            node_id not in self._members.link_by_id
+            for node_id in self._members.fresh_heartbeats()
         )
+        leader = self._members.fresh_heartbeats().get(self._agreed.leader_id)
+        told = leader.entries if leader is not None else 0
+        return max(linked, told, self._seen.count_entries())
 
     def _make_update(self, sent: '_Sent', now: '_Sent') -> updates.FleetUpdate:
         content = self._agreed.state.content
--- a/packages/gateway/src/apricotthread/gateway/budgets.py
+++ b/packages/gateway/src/apricotthread/gateway/budgets.py
@@ -4,6 +4,8 @@
 
 from apricotthread.base import environment
 
+# Parts by chance scatter around their sum.
+COLD_SAFETY = 0.6
 SAFETY = 0.8  # entries do not see each other's repeats as they happen
 
 
@@ -59,12 +61,21 @@
 
 
 def cold_room(
-    *, requests_per_s: float, overshoot: float, entries: int, sent: int
+    *,
+    requests_per_s: float,
+    overshoot: float,
+    entries: int,
+    sent: int,
+    draw: float,
 ) -> int:
     """Return how many more requests a cold endpoint may get this second.
 
-    The bound holds for the sum over all entries, so each has its part.
+    The bound holds for the sum over all entries, so each has its part. A
+    part below one request is a chance of one, for which `draw` is an even
+    number from 0 to 1 that stays the same for a second.
     """
     if requests_per_s <= 0:
         return 1
-    return max(1, int(requests_per_s * overshoot / max(1, entries))) - sent
+    part = COLD_SAFETY * requests_per_s * overshoot / max(1, entries)
+    whole = int(part)
+    return whole + (draw < part - whole) - sent
--- a/packages/gateway/src/apricotthread/gateway/forwarder.py
+++ b/packages/gateway/src/apricotthread/gateway/forwarder.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import typing
+import zlib
 
 from apricotthread.base import environment
 from apricotthread.base import errors
@@ -96,6 +97,7 @@
         self._seen = seen
         self._own_data_centre = own_data_centre
         self._cold_overshoot = cold_overshoot
+        self._salt = env.new_id()
 
     async def forward(
         self, job: requests.Job, sink: Sink, story: stories.Story
@@ -173,6 +175,7 @@
                 overshoot=self._cold_overshoot,
                 entries=self._fleet.entry_count,
                 sent=self._loads.sent_within_cold_window(replica.endpoint_id),
+                draw=self._draw(replica.endpoint_id),
             )
         return placement.Candidate(
             replica=replica,
@@ -185,6 +188,12 @@
             slowness=self._seen.slowness(replica),
         )
 
+    def _draw(self, endpoint_id: str) -> float:
+        """Return a number from 0 to 1, a new one for each second."""
+        second = int(self._env.timer.now() / loads.COLD_WINDOW_S)
+        text = f'{self._salt} {endpoint_id} {second}'.encode()
+        return zlib.crc32(text) / (1 << 32)
+
     def _is_silent(self, replica: view.Replica) -> bool:
         """Whether neither control nodes nor this entry hear a replica."""
         return not self._fleet.is_sound(replica.endpoint_id) and (
--- a/packages/gateway/src/apricotthread/gateway/sightings.py
+++ b/packages/gateway/src/apricotthread/gateway/sightings.py
@@ -173,6 +173,7 @@
                 )
             )
         return evidence.EntryReport(
+            entry_id=self._members.own.node_id,
             data_centre=self._data_centre,
             has_callers=self.has_callers,
             groups=tuple(groups),
--- a/packages/nodes/src/apricotthread/nodes/messages.py
+++ b/packages/nodes/src/apricotthread/nodes/messages.py
@@ -60,6 +60,8 @@
     capacities: list[Capacity]
     vms: list[VmReport]
     local_out: bool = False
+    # How many entries there are, as a leader knows from their reports.
+    entries: int = 0
 
 
 class Fault(Message):
--- a/packages/nodes/src/apricotthread/nodes/peer.capnp
+++ b/packages/nodes/src/apricotthread/nodes/peer.capnp
@@ -68,6 +68,7 @@
   capacities @5 :List(Capacity);
   vms @6 :List(VmReport);
   localOut @7 :Bool;
+  entries @8 :UInt32;
 }
 
 struct Capacity {
