--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,8 @@
 PACKAGES = base nodes control endpoints fleet routing groups gateway \
 	callers operators daemon cli fakes
 EDITABLE = $(foreach package,$(PACKAGES),-e packages/$(package)) -e platform
+# Tests of real processes and disks, which need the machine for themselves.
+REAL = tests/test_fleet_system.py tests/test_storage.py tests/test_system.py
 SOURCES = packages platform tests bench demo
 
 .PHONY: help install demo run test lint format bench clean
@@ -36,7 +38,8 @@
 	$(BIN)/python -m demo --keep-running
 
 test: install
-	$(BIN)/python -m pytest -q -n 6
+	$(BIN)/python -m pytest -q -n 5 $(REAL:%=--ignore=%)
+	$(BIN)/python -m pytest -q -n 2 --dist loadfile $(REAL)
 
 lint: install
 	$(BIN)/ruff format --check $(SOURCES)
