--- a/packages/gateway/src/apricotthread/gateway/application.py
+++ b/packages/gateway/src/apricotthread/gateway/application.py
@@ -148,6 +148,8 @@
         except (OSError, asyncio.CancelledError):
             raise
         except Exception:
+            # A fault of ours in one request must not end the entry, and the
+            # server would print it without the request.
             logs.log_event('request_broke', trace=traceback.format_exc())
             raise AnswerAborted from None
 
