Tell entries the mean load of all groups, and new peers all endpoints

Cause: an entry knows a group's load from the answers it gets itself; with 63 entries and 16 groups from one answer in seven seconds, and when it refuses from none. The mean mixed models and plain services. After all nodes lost power the leader dissolved four groups whose members had announced themselves at another control node only: news that were spread before a link was up were lost.

Change: entries report their work at each endpoint; the leader's reply has the sums, of which the mean by model is used. A report goes to the next control node if one does not answer. A link that was just made carries all endpoints that are known.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,6 +8,7 @@
     'agreement',
     'groups',
     'overload',
+    'placing',
     'leaving',
     'slowreaders',
     'proofs',
--- a/packages/daemon/src/apricotthread/daemon/fleetnode.py
+++ b/packages/daemon/src/apricotthread/daemon/fleetnode.py
@@ -49,6 +49,7 @@
 SETTINGS_PERIOD_S = 1.0
 DROP_STALE_PERIOD_S = 1.0
 DRAIN_POLL_S = 0.05
+EVIDENCE_TIMEOUT_S = 0.3  # a leader that runs answers within milliseconds
 MAX_IDLE_CONNECTIONS = 32  # for each endpoint
 
 
@@ -403,6 +404,7 @@
             get_table=self.get_table,
             sender=writer,
             stall_s=settings.stall_s,
+            lost_after_s=settings.endpoint_lease_s,
         )
         self.service = controlservice.ControlService(
             env=env,
@@ -448,12 +450,15 @@
     async def _on_evidence(
         self, peer: messages.Greeting, body: messages.Evidence
     ) -> messages.Message:
-        """Take what an entry has seen of groups, and tell the leader."""
+        """Take what an entry has seen of groups, or pass it to the leader.
+
+        The reply has the work of all entries, as the leader knows it.
+        """
         leader_id = self.agreed.leader_id
         link = self._link_by_id.get(leader_id)
         if link is not None and peer.node_id not in self._link_by_id:
-            await link.send(body)
-            return messages.Done()
+            reply = await link.try_call(body, timeout_s=EVIDENCE_TIMEOUT_S)
+            return reply or messages.Done()
         try:
             report = evidence.decode_report(body.payload)
         except msgspec.DecodeError as error:
@@ -462,7 +467,9 @@
                 message=f'the report can not be decoded: {error}',
             ) from error
         self.seen.take(report)
-        return messages.Done()
+        if self.agreed.role is not replica.Role.LEADER:
+            return messages.Done()
+        return messages.EvidenceReply(payload=self.seen.sum_in_flight())
 
     def start(self, tasks: asyncio.TaskGroup) -> None:
         """Run the parts within a task group."""
@@ -489,6 +496,8 @@
             members=node.members,
             pool=node.pool,
             data_centre=settings.data_centre,
+            fleet=self.fleet,
+            load_table=load_table,
         )
         self.watch = stallwatch.StallWatch(
             env=env, fleet=self.fleet, load_table=load_table, seen=self.seen
--- a/packages/fleet/src/apricotthread/fleet/evidence.py
+++ b/packages/fleet/src/apricotthread/fleet/evidence.py
@@ -1,5 +1,6 @@
 """What entries see of groups at work, for the leader that keeps them."""
 
+import collections
 import dataclasses
 
 import msgspec
@@ -30,9 +31,12 @@
     data_centre: str
     has_callers: bool
     groups: tuple[GroupSight, ...] = ()
+    # By endpoint; for a group this is its head.
+    in_flight: dict[str, int] = {}
 
 
 _DECODER = msgspec.msgpack.Decoder(EntryReport)
+_SUMS_DECODER = msgspec.msgpack.Decoder(dict[str, int])
 
 
 def encode_report(report: EntryReport) -> bytes:
@@ -45,9 +49,22 @@
     return _DECODER.decode(payload)
 
 
+def encode_sums(in_flight_by_id: dict[str, int]) -> bytes:
+    """Return the work of all entries at each endpoint as MessagePack."""
+    return msgspec.msgpack.encode(in_flight_by_id)
+
+
+def decode_sums(payload: bytes) -> dict[str, int]:
+    """Return the work at each endpoint; raises msgspec.DecodeError."""
+    return _SUMS_DECODER.decode(payload)
+
+
 NEVER = float('-inf')
 # An entry that may still send counts for longer than it takes to notice it.
 ENTRY_LEASE_S = 5.0
+# What an entry that reports twice a second has said counts for so long.
+IN_FLIGHT_S = 1.5
+SUM_PERIOD_S = 0.1  # one sum serves the entries that report within it
 SLOWNESS = 2.0  # a group is as slow as its slowest member
 
 
@@ -69,6 +86,9 @@
         self._env = env
         self._evidence_by_group: dict[tuple[str, int], GroupEvidence] = {}
         self._heard_at_by_entry: dict[str, float] = {}
+        self._in_flight_by_entry: dict[str, dict[str, int]] = {}
+        self._sums = b''
+        self._summed_at = NEVER
         self.has_callers = False
 
     def count_entries(self) -> int:
@@ -81,6 +101,7 @@
         now = self._env.timer.now()
         self.has_callers = self.has_callers or report.has_callers
         self._heard_at_by_entry[report.entry_id] = now
+        self._in_flight_by_entry[report.entry_id] = report.in_flight
         for sight in report.groups:
             known = self._evidence_by_group.setdefault(
                 (sight.group_id, sight.epoch), GroupEvidence()
@@ -97,6 +118,20 @@
             if sight.slowness > SLOWNESS:
                 known.slow_at = now
 
+    def sum_in_flight(self) -> bytes:
+        """Return the work of all entries at each endpoint, encoded."""
+        now = self._env.timer.now()
+        if now - self._summed_at >= SUM_PERIOD_S:
+            total = collections.Counter()
+            for entry_id, in_flight in list(self._in_flight_by_entry.items()):
+                if now - self._heard_at_by_entry[entry_id] > IN_FLIGHT_S:
+                    del self._in_flight_by_entry[entry_id]
+                    continue
+                total.update(in_flight)
+            self._sums = encode_sums(dict(total))
+            self._summed_at = now
+        return self._sums
+
     def of(self, group_id: str, epoch: int) -> GroupEvidence:
         """Return what is known of a group."""
         return self._evidence_by_group.get((group_id, epoch), GroupEvidence())
--- a/packages/fleet/src/apricotthread/fleet/publisher.py
+++ b/packages/fleet/src/apricotthread/fleet/publisher.py
@@ -12,6 +12,7 @@
 from apricotthread.endpoints import directory
 from apricotthread.fleet import evidence
 from apricotthread.fleet import updates
+from apricotthread.nodes import links
 from apricotthread.nodes import membership
 from apricotthread.nodes import messages
 from apricotthread.nodes import server
@@ -54,6 +55,7 @@
         self._payload_by_step: dict[tuple[_Sent, _Sent], bytes] = {}
         self._groups_by_index: dict[int, dict[str, updates.GroupNews]] = {}
         self._pending: list[directory.Heard] = []
+        self._told_connections: dict[str, int] = {}
         self._has_change = asyncio.Event()
         self._changed = asyncio.Event()
 
@@ -107,7 +109,8 @@
     async def _spread(self) -> None:
         """Send announcements on to the other control nodes, in batches.
 
-        Those that only say that nothing has changed may wait a little.
+        Those that only say that nothing has changed may wait a little. A
+        node that has just been connected to gets all that are known.
         """
         while True:
             try:
@@ -118,13 +121,25 @@
             await self._env.timer.sleep(BATCH_S)
             self._has_change.clear()
             batch, self._pending = self._pending, []
-            if not batch:
-                continue
             news = messages.EndpointNews(payload=updates.encode_heard(batch))
             for link in list(self._members.link_by_id.values()):
-                if link.peer.is_voter and link.is_connected:
+                if not link.peer.is_voter or not link.is_connected:
+                    continue
+                if self._is_new(link):
+                    await link.send(self._make_all_news())
+                elif batch:
                     await link.send(news)
 
+    def _is_new(self, link: links.PeerLink) -> bool:
+        """Whether a link was made since news were sent over it."""
+        told = self._told_connections.get(link.peer_id)
+        self._told_connections[link.peer_id] = link.connections_made
+        return told != link.connections_made
+
+    def _make_all_news(self) -> messages.EndpointNews:
+        heard = [told for told, _ in self._endpoints.heard_since(0)]
+        return messages.EndpointNews(payload=updates.encode_heard(heard))
+
     async def on_endpoint_news(
         self, peer: messages.Greeting, body: messages.EndpointNews
     ) -> messages.Message:
--- a/packages/fleet/src/apricotthread/fleet/view.py
+++ b/packages/fleet/src/apricotthread/fleet/view.py
@@ -1,5 +1,6 @@
 """What an entry knows of the fleet, joined from its control nodes."""
 
+import collections
 import collections.abc
 import dataclasses
 
@@ -169,6 +170,14 @@
             self._replicas_by_service[service] = known
         return known
 
+    def endpoint_ids_by_model(self) -> dict[str, list[str]]:
+        """Return where requests may go, by model; '' for plain services."""
+        ids_by_model = collections.defaultdict(list)
+        for service in self.table.services if self.table else ():
+            for replica in self.replicas(service.name):
+                ids_by_model[replica.model].append(replica.endpoint_id)
+        return ids_by_model
+
     def _find_replicas(self, service: str) -> list[Replica]:
         row = self.table.service_by_name().get(service)
         if row is not None and row.engine is not None:
--- a/packages/gateway/src/apricotthread/gateway/forwarder.py
+++ b/packages/gateway/src/apricotthread/gateway/forwarder.py
@@ -179,7 +179,9 @@
             )
         return placement.Candidate(
             replica=replica,
-            load=self._loads.estimate(replica.endpoint_id),
+            load=self._loads.estimate(
+                replica.endpoint_id, model=replica.model
+            ),
             is_near=replica.data_centre == self._own_data_centre,
             cold_room=cold_room,
             ejected=self._loads.is_ejected(replica.endpoint_id)
@@ -408,6 +410,7 @@
         if facts.running is not None:
             self._loads.report(
                 replica.endpoint_id,
+                model=replica.model,
                 running=facts.running,
                 waiting=facts.waiting,
             )
--- a/packages/gateway/src/apricotthread/gateway/loads.py
+++ b/packages/gateway/src/apricotthread/gateway/loads.py
@@ -2,11 +2,14 @@
 
 import collections
 import dataclasses
+import statistics
 
 from apricotthread.base import environment
 
 # Others' requests come and go; a report says little after this time.
 REPORT_TAU_S = 1.0
+# Of the newest response in the mean, while the leader's sums do not come.
+REPORT_WEIGHT = 1 / 16
 # An endpoint that fails in a row gets less than its peers for this time.
 EJECT_S = 2.0
 EJECT_AFTER = 3
@@ -18,6 +21,8 @@
     """The load of one endpoint, as far as this entry knows."""
 
     in_flight: int = 0
+    # As this entry said it in its last report.
+    told_in_flight: int = 0
     others: float = 0.0
     reported_at: float = float('-inf')
     last_byte_at: float = float('-inf')
@@ -32,14 +37,14 @@
     """The loads of all endpoints by id.
 
     Own work in flight is exact. What other entries have there is known
-    from the last response; with time it counts less, and the mean over
-    the service's endpoints more.
+    from the last response; with time it counts less, and the mean over the
+    model's endpoints more, which the leader makes of all entries' reports.
     """
 
     def __init__(self, *, env: environment.Environment) -> None:
         self._env = env
         self.load_by_id: dict[str, EndpointLoad] = {}
-        self._mean_others = 0.0
+        self._mean_others = collections.defaultdict(float)
 
     def of(self, endpoint_id: str) -> EndpointLoad:
         """Return the load of an endpoint."""
@@ -49,24 +54,57 @@
             self.load_by_id[endpoint_id] = load
         return load
 
-    def report(self, endpoint_id: str, *, running: int, waiting: int) -> None:
+    def report(
+        self, endpoint_id: str, *, model: str, running: int, waiting: int
+    ) -> None:
         """Take what an endpoint's response says of its load."""
         load = self.of(endpoint_id)
         load.others = max(0.0, running + waiting - load.in_flight)
         load.reported_at = self._env.timer.now()
-        self._mean_others += (load.others - self._mean_others) / 16
-
-    def estimate(self, endpoint_id: str) -> float:
+        mean = self._mean_others[model]
+        self._mean_others[model] += (load.others - mean) * REPORT_WEIGHT
+
+    def tell_in_flight(self) -> dict[str, int]:
+        """Return the own work at each endpoint, for this entry's report."""
+        for load in self.load_by_id.values():
+            load.told_in_flight = load.in_flight
+        return {
+            endpoint_id: load.in_flight
+            for endpoint_id, load in self.load_by_id.items()
+            if load.in_flight
+        }
+
+    def take_sums(
+        self,
+        in_flight_by_id: dict[str, int],
+        endpoint_ids_by_model: dict[str, list[str]],
+    ) -> None:
+        """Take the work of all entries at each endpoint, as reported.
+
+        Only the means are used: of a single endpoint the sums are too old,
+        and all entries would send to the one that had the least.
+        """
+        for model, endpoint_ids in endpoint_ids_by_model.items():
+            self._mean_others[model] = statistics.fmean(
+                max(
+                    0,
+                    in_flight_by_id.get(endpoint_id, 0)
+                    - self.of(endpoint_id).told_in_flight,
+                )
+                for endpoint_id in endpoint_ids
+            )
+
+    def estimate(self, endpoint_id: str, *, model: str) -> float:
         """Return how many requests an endpoint probably has."""
+        mean = self._mean_others[model]
         load = self.load_by_id.get(endpoint_id)
         if load is None:
-            return self._mean_others
+            return mean
         age_s = self._env.timer.now() - load.reported_at
         if age_s > 8 * REPORT_TAU_S:
-            return load.in_flight + self._mean_others
+            return load.in_flight + mean
         trust = 0.5 ** (age_s / REPORT_TAU_S)
-        others = trust * load.others + (1 - trust) * self._mean_others
-        return load.in_flight + others
+        return load.in_flight + trust * load.others + (1 - trust) * mean
 
     def start(self, endpoint_id: str) -> None:
         """Count a request that is being sent."""
--- a/packages/gateway/src/apricotthread/gateway/sightings.py
+++ b/packages/gateway/src/apricotthread/gateway/sightings.py
@@ -3,16 +3,20 @@
 import asyncio
 import dataclasses
 
+import msgspec
+
 from apricotthread.base import environment
 from apricotthread.base import logs
 from apricotthread.endpoints import connections
 from apricotthread.fleet import evidence
 from apricotthread.fleet import view
+from apricotthread.gateway import loads
 from apricotthread.nodes import membership
 from apricotthread.nodes import messages
 
 REPORT_PERIOD_S = 0.5
 URGENT_PERIOD_S = 0.05  # when a group has stalled just now
+REPLY_TIMEOUT_S = 0.4  # longer than the control node waits for the leader
 OLDEST_SIGHT_S = 3.0
 REACH_TIMEOUT_S = 0.5  # a VM that is up accepts within milliseconds
 GAP_WEIGHT = 0.1  # of the newest gap in the mean of a group
@@ -42,11 +46,15 @@
         members: membership.Membership,
         pool: connections.ConnectionPool,
         data_centre: str,
+        fleet: view.FleetView,
+        load_table: loads.LoadTable,
     ) -> None:
         self._env = env
         self._members = members
         self._pool = pool
         self._data_centre = data_centre
+        self._fleet = fleet
+        self._loads = load_table
         self._sight_by_group: dict[tuple[str, int], _Sight] = {}
         self._reaching: dict[str, asyncio.Task] = {}
         self.has_callers = False
@@ -134,9 +142,9 @@
         return self._env.timer.now() - sight.progressed_at < EJECT_S
 
     async def run(self) -> None:
-        """Send reports to a control node until cancelled.
+        """Send reports to the leader until cancelled.
 
-        It passes them on to the leader.
+        They go through a control node, the next one if it does not answer.
         """
         while True:
             try:
@@ -147,12 +155,31 @@
             self._is_urgent.clear()
             report = self._make_report(self._env.timer.now())
             payload = evidence.encode_report(report)
-            for link in list(self._members.link_by_id.values()):
-                if link.peer.is_voter and link.is_connected:
-                    await link.send(messages.Evidence(payload=payload))
-                    break
+            await self._send(messages.Evidence(payload=payload))
             await self._env.timer.sleep(URGENT_PERIOD_S)
 
+    async def _send(self, report: messages.Evidence) -> None:
+        for link in list(self._members.link_by_id.values()):
+            if not link.peer.is_voter or not link.is_connected:
+                continue
+            reply = await link.try_call(report, timeout_s=REPLY_TIMEOUT_S)
+            if isinstance(reply, messages.EvidenceReply):
+                self._take_sums(reply.payload)
+            if reply is not None:
+                return
+        logs.log_event('report_lost')
+
+    def _take_sums(self, payload: bytes) -> None:
+        """Take the work of all entries, as the leader knows it."""
+        try:
+            in_flight_by_id = evidence.decode_sums(payload)
+        except msgspec.DecodeError as error:
+            logs.log_event('sums_broken', reason=str(error))
+            return
+        self._loads.take_sums(
+            in_flight_by_id, self._fleet.endpoint_ids_by_model()
+        )
+
     def _make_report(self, now: float) -> evidence.EntryReport:
         groups = []
         for key, sight in list(self._sight_by_group.items()):
@@ -177,6 +204,7 @@
             data_centre=self._data_centre,
             has_callers=self.has_callers,
             groups=tuple(groups),
+            in_flight=self._loads.tell_in_flight(),
         )
 
 
--- a/packages/nodes/src/apricotthread/nodes/links.py
+++ b/packages/nodes/src/apricotthread/nodes/links.py
@@ -86,6 +86,9 @@
         self._greeting = greeting
         self._silence_s = silence_s
         self.peer_greeting: messages.Greeting | None = None
+        # How often a connection was made: what was sent before the newest
+        # one may have been lost.
+        self.connections_made = 0
         self._connection: connections.Connection | None = None
         self._stream_by_request_id: dict[int, ReplyStream] = {}
         self._next_request_id = 1
@@ -120,6 +123,7 @@
             )
             with logs.log_action('peer_link', peer=self.peer_id):
                 self._connection = connection
+                self.connections_made += 1
                 await self._receive_replies(connection)
         finally:
             self._connection = None
--- a/packages/nodes/src/apricotthread/nodes/messages.py
+++ b/packages/nodes/src/apricotthread/nodes/messages.py
@@ -405,6 +405,12 @@
     payload: bytes
 
 
+class EvidenceReply(Message):
+    """The work of all entries at each endpoint, in MessagePack."""
+
+    payload: bytes
+
+
 class DocumentRequest(Message):
     """Asks the leader for the newest table as it was handed in."""
 
@@ -456,4 +462,5 @@
     Evidence,
     DocumentRequest,
     DocumentReply,
+    EvidenceReply,
 )
--- a/packages/nodes/src/apricotthread/nodes/peer.capnp
+++ b/packages/nodes/src/apricotthread/nodes/peer.capnp
@@ -46,6 +46,7 @@
     evidence @38 :Evidence;
     documentRequest @39 :DocumentRequest;
     documentReply @40 :DocumentReply;
+    evidenceReply @41 :EvidenceReply;
   }
 }
 
@@ -322,6 +323,8 @@
 
 struct Evidence { payload @0 :Data; }
 
+struct EvidenceReply { payload @0 :Data; }
+
 struct DocumentRequest {}
 
 struct DocumentReply {
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -9,6 +9,7 @@
 from apricotthread.base import errors
 from apricotthread.control import routetables
 from apricotthread.fakes import driven
+from apricotthread.fleet import evidence
 from apricotthread.fleet import view
 from apricotthread.gateway import budgets
 from apricotthread.gateway import events
@@ -232,16 +233,53 @@
     async def main():
         table = loads.LoadTable(env=env)
         table.start('g1')
-        table.report('g1', running=9, waiting=2)
-        assert table.estimate('g1') == 11
+        table.report('g1', model='m', running=9, waiting=2)
+        assert table.estimate('g1', model='m') == 11
         await env.timer.sleep(20.0)
-        assert table.estimate('g1') < 5
+        assert table.estimate('g1', model='m') < 5
         table.end('g1')
         assert table.of('g1').in_flight == 0
 
     driven.run(main())
 
 
+def test_the_mean_of_a_model_comes_from_the_sums_of_all_entries(env):
+    async def main():
+        table = loads.LoadTable(env=env)
+        table.report('g1', model='m', running=19, waiting=8)
+        table.start('g1')
+        table.start('g2')
+        assert table.tell_in_flight() == {'g1': 1, 'g2': 1}
+        await env.timer.sleep(20.0)
+        table.take_sums(
+            {'g1': 4, 'g2': 2, 'w1': 90}, {'m': ['g1', 'g2', 'g3'], '': ['w1']}
+        )
+        assert table.estimate('g1', model='m') == pytest.approx(1 + 4 / 3)
+        assert table.estimate('g3', model='m') == pytest.approx(4 / 3)
+        assert table.estimate('w1', model='') == 90
+
+    driven.run(main())
+
+
+def test_the_work_of_all_entries_is_summed_and_grows_old(env):
+    async def main():
+        seen = evidence.EvidenceStore(env=env)
+        for entry_id, in_flight in (('e1', {'g1': 2}), ('e2', {'g1': 1})):
+            seen.take(
+                evidence.EntryReport(
+                    entry_id=entry_id,
+                    data_centre='a',
+                    has_callers=True,
+                    in_flight=in_flight,
+                )
+            )
+        assert evidence.decode_sums(seen.sum_in_flight()) == {'g1': 3}
+        await env.timer.sleep(evidence.IN_FLIGHT_S + 0.1)
+        assert evidence.decode_sums(seen.sum_in_flight()) == {}
+
+    driven.run(main())
+
+
 def test_an_endpoint_that_fails_in_a_row_is_ejected_for_a_while(env):
     async def main():
         table = loads.LoadTable(env=env)
--- /dev/null
+++ b/tests/test_placing.py
@@ -0,0 +1,52 @@
+"""What callers get while many entries place on the same groups."""
+
+import pytest
+
+from apricotthread.fakes import streamload
+from apricotthread.gateway import loads
+from bench import placing
+
+
+def play(make_table, *, entries, groups, slots, load_share):
+    """Return what callers get."""
+    return streamload.StreamLoad(
+        entries=entries,
+        groups=groups,
+        slots=slots,
+        load_share=load_share,
+        seed=1,
+        make_table=make_table,
+    ).run()
+
+
+@pytest.mark.parametrize(
+    ('entries', 'groups', 'slots'), [(7, 6, 13), (63, 16, 19), (87, 8, 24)]
+)
+def test_in_overload_entries_refuse_little_more_than_they_must(
+    entries, groups, slots
+):
+    result = play(
+        loads.LoadTable,
+        entries=entries,
+        groups=groups,
+        slots=slots,
+        load_share=1.3,
+    )
+    # Nine tenths of what the groups can serve are served.
+    assert 1 - result.refused >= 0.9 / 1.3
+
+
+def test_entries_that_know_only_themselves_refuse_too_much():
+    shape = {'entries': 63, 'groups': 16, 'slots': 19, 'load_share': 1.3}
+    known = play(loads.LoadTable, **shape)
+    naive = play(placing.NaiveLoadTable, **shape)
+    assert naive.refused > 2 * known.refused
+    assert known.in_time > naive.in_time
+
+
+def test_below_capacity_nothing_is_refused():
+    result = play(
+        loads.LoadTable, entries=63, groups=16, slots=19, load_share=0.8
+    )
+    assert result.refused == 0
+    assert result.in_time > 0.95
