Take a data centre for cut off by the heartbeats that are due

Cause: the leader dissolved groups in the first second of a cut. Members are asked when their group stalls and found silent after 1.0 s, when most VMs of the data centre still count as heard for 2.9 s.

Change: a VM counts as heard for 1.4 s, a heartbeat and its way, and a data centre of which less than 0.35 are heard is cut off; half of one, a dark domain, is not. The test fails without it.

How the folder is opened is handed to a node.

--- a/packages/base/src/apricotthread/base/settings.py
+++ b/packages/base/src/apricotthread/base/settings.py
@@ -81,6 +81,8 @@
     seeds: tuple[NodeAddress, ...]
     first_start: bool
     data_centres: tuple[str, ...]
+    # Empty where the node's peers reach it at the IP number that it binds.
+    bind_host: str = ''
     caller_address: 'Address | None' = None
     readiness_address: 'Address | None' = None
     control_address: 'Address | None' = None
@@ -378,6 +380,13 @@
         allowed='entry, control or both, joined by a comma',
         required=True,
     ),
+    SettingKey(
+        section='listen',
+        key='bind_host',
+        field='bind_host',
+        parse=parse_host,
+        allowed='an IP number of this machine',
+    ),
     *(
         SettingKey(
             section='fleet',
--- a/packages/daemon/src/apricotthread/daemon/controlservice.py
+++ b/packages/daemon/src/apricotthread/daemon/controlservice.py
@@ -28,7 +28,6 @@
         self,
         *,
         env: environment.Environment,
-        own_id: str,
         agreed: replica.Replica,
         proposer: proposals.Proposer,
         published: publisher.Publisher,
@@ -37,7 +36,6 @@
         get_table: collections.abc.Callable[[], routetables.RouteTable | None],
     ) -> None:
         self._env = env
-        self._own_id = own_id
         self._agreed = agreed
         self._proposer = proposer
         self._published = published
--- a/packages/daemon/src/apricotthread/daemon/fleetmain.py
+++ b/packages/daemon/src/apricotthread/daemon/fleetmain.py
@@ -7,6 +7,7 @@
 from apricotthread.base import environment
 from apricotthread.base import logs
 from apricotthread.base import settings as node_settings
+from apricotthread.control import folders
 from apricotthread.daemon import fleetnode
 
 
@@ -14,6 +15,7 @@
     settings: node_settings.Settings,
     path: str,
     env: environment.Environment,
+    open_folder: fleetnode.FolderOpener = folders.open_folder,
 ) -> None:
     """Run a node until SIGTERM has been served."""
     # The server would print a trace for each answer that is cut off; the
@@ -23,7 +25,11 @@
         lines_per_s=settings.discovery.log_lines_per_s
     )
     node = fleetnode.FleetNode(
-        settings=settings, settings_path=path, env=env, log_writer=writer
+        settings=settings,
+        settings_path=path,
+        env=env,
+        log_writer=writer,
+        open_folder=open_folder,
     )
     try:
         uvloop.run(node.run())
--- a/packages/daemon/src/apricotthread/daemon/fleetnode.py
+++ b/packages/daemon/src/apricotthread/daemon/fleetnode.py
@@ -1,6 +1,8 @@
 """A node that finds the others by itself: an entry, or a control node."""
 
 import asyncio
+import collections.abc
+import dataclasses
 import os
 import signal
 
@@ -52,6 +54,8 @@
 EVIDENCE_TIMEOUT_S = 0.3  # a leader that runs answers within milliseconds
 MAX_IDLE_CONNECTIONS = 32  # for each endpoint
 
+FolderOpener = collections.abc.Callable[..., folders.Folder]
+
 
 class FleetNode:
     """One node, with the parts of its roles."""
@@ -63,10 +67,12 @@
         settings_path: str,
         env: environment.Environment,
         log_writer: logs.LineWriter,
+        open_folder: FolderOpener = folders.open_folder,
     ) -> None:
         self.settings = settings
         self.env = env
         self._path = settings_path
+        self.open_folder = open_folder
         self._log_writer = log_writer
         self._stopping = asyncio.Event()
         self._incarnation = int(env.timer.wall_time() * units.MS_PER_S)
@@ -109,7 +115,9 @@
         self.peer_server = server.PeerServer(
             env=env,
             network=network,
-            own=own,
+            own=dataclasses.replace(
+                own, host=settings.discovery.bind_host or own.host
+            ),
             greeting=greeting,
             silence_s=settings.lease_s * 2,
             on_greeting=self._on_greeting,
@@ -345,7 +353,7 @@
         members = node.members
         known = settings.discovery
         self._link_by_id = members.link_by_id
-        folder = folders.open_folder(settings.data_folder, timer=env.timer)
+        folder = node.open_folder(settings.data_folder, timer=env.timer)
         founders = frozenset(
             seed.node_id for seed in known.seeds if known.first_start
         )
@@ -408,7 +416,6 @@
         )
         self.service = controlservice.ControlService(
             env=env,
-            own_id=settings.node_id,
             agreed=self.agreed,
             proposer=self.proposer,
             published=self.published,
--- a/packages/groups/src/apricotthread/groups/formation.py
+++ b/packages/groups/src/apricotthread/groups/formation.py
@@ -24,7 +24,10 @@
 UNREACHABLE_S = 3.0
 # A data centre of which less than this share is heard is cut off: its
 # groups go on serving there, and can not be reached from here.
-HEARD_SHARE = 0.25
+HEARD_SHARE = 0.35
+# A heartbeat of the platform's workers (1.2 s) and its way. Members that
+# are asked are found silent sooner than all others miss theirs.
+HEARTBEAT_S = 1.4
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -121,7 +124,9 @@
         for vm in self.vm_by_id.values():
             if not vm.gone:
                 known[vm.told.data_centre] += 1
-                heard[vm.told.data_centre] += not vm.lost
+                heard[vm.told.data_centre] += (
+                    not vm.lost and vm.heard_s_ago < HEARTBEAT_S
+                )
         return {
             name
             for name, count in known.items()
--- a/packages/groups/src/apricotthread/groups/formationmanager.py
+++ b/packages/groups/src/apricotthread/groups/formationmanager.py
@@ -171,6 +171,7 @@
                 lost=entry.lost,
                 gone=entry.gone,
                 slow=endpoint_id in self._slow_ids,
+                heard_s_ago=now - entry.heard_at,
             )
             for endpoint_id, entry in self._endpoints.entry_by_id.items()
             if entry.announcement.service == service.name
--- a/packages/groups/src/apricotthread/groups/steps.py
+++ b/packages/groups/src/apricotthread/groups/steps.py
@@ -19,6 +19,7 @@
     lost: bool
     gone: bool
     slow: bool = False
+    heard_s_ago: float = 0.0
 
     @property
     def endpoint_id(self) -> str:
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -88,7 +88,7 @@
         told = {
             key: value
             for key, value in changes.items()
-            if key not in ('lost', 'gone', 'slow')
+            if key not in ('lost', 'gone', 'slow', 'heard_s_ago')
         }
         self.vm_by_id[name] = steps.Vm(
             told=directory.Announcement(
@@ -100,6 +100,7 @@
             lost=changes.get('lost', vm.lost),
             gone=changes.get('gone', vm.gone),
             slow=changes.get('slow', vm.slow),
+            heard_s_ago=changes.get('heard_s_ago', vm.heard_s_ago),
         )
 
     def plan(
@@ -514,3 +515,38 @@
     world.vm_by_id.pop(group.members[2].endpoint_id)
     assert world.plan(knows_members=False) == []
     assert world.plan() != []
+
+
+def test_no_group_ends_in_the_first_second_of_a_cut(world):
+    """Members are found silent before the others miss a heartbeat."""
+    world.settle()
+    before = dict(world.ledger.group_by_id)
+    group = world.group_of('large')
+    held = world.ledger.held_vms()
+    cut_off = [
+        (name, vm)
+        for name, vm in list(world.vm_by_id.items())
+        if vm.told.data_centre == group.data_centre
+    ]
+    for number, (name, _) in enumerate(cut_off):
+        # A third has sent a heartbeat just before the cut.
+        age_s = 1.0 if number % 3 == 0 else 1.5
+        world.change(name, heard_s_ago=age_s)
+        if name in held and number % 2:
+            world.change(name, lost=True)
+    world.settle()
+    assert dict(world.ledger.group_by_id) == before
+
+
+def test_a_domain_that_goes_dark_is_no_cut(world):
+    world.settle()
+    for name, vm in list(world.vm_by_id.items()):
+        if vm.told.fabric_domain == 'a1':
+            world.change(name, lost=True, heard_s_ago=2.0)
+            if vm.told.place is not None:
+                seen = world.evidence_by_group[
+                    vm.told.place.group_id, vm.told.place.epoch
+                ]
+                seen.unreachable_at = world.now
+    world.settle()
+    assert world.serving() == {'large': 5, 'small': 5}
