Add a seeded soak of real nodes under faults from outside

Cause: nothing ran the real programs under overlapping faults; the tests of real processes bring one fault each.

Change: `python -m soak` plays nodes of a test build as processes, each behind loopback proxies, with the stand-ins of workers, callers and operators, and a schedule of faults made of a seed: connections delayed, reset, cut one way or silenced; processes stopped, paused, killed and reloaded, several at once; disks slow, full, failing, torn and lost; the time of day stepped; workers that garble, lie, answer late, twice or not at all; tables in succession and raced; data centres taken out.

--- /dev/null
+++ b/soak/schedule.py
@@ -0,0 +1,177 @@
+"""Which faults come when, the same for the same seed."""
+
+import dataclasses
+import enum
+import random
+
+# Stand-ins and nodes need a moment before the first fault.
+QUIET_S = 2.0
+# The platform's bound after which undisturbed nodes have to serve again.
+RECOVER_S = 12.0
+MEAN_GAP_S = 0.9
+SHORTEST_S = 0.4
+LONGEST_S = 4.0
+PLANNED_GAP_S = 3.5
+
+
+class Kind(enum.Enum):
+    """What happens; each fault is taken back when its time is over."""
+
+    LINK_DELAY = 'link_delay'
+    LINK_RESET = 'link_reset'
+    LINK_ONE_WAY = 'link_one_way'
+    NODE_SILENT = 'node_silent'
+    NODE_KILL = 'node_kill'
+    NODE_STOP = 'node_stop'
+    NODE_PAUSE = 'node_pause'
+    NODE_RELOAD = 'node_reload'
+    DISK_SLOW = 'disk_slow'
+    DISK_FULL = 'disk_full'
+    DISK_FAILS = 'disk_fails'
+    DISK_TEARS = 'disk_tears'
+    DISK_LOST = 'disk_lost'
+    CLOCK_STEP = 'clock_step'
+    WORKER_GARBLES = 'worker_garbles'
+    WORKER_LATE = 'worker_late'
+    WORKER_TWICE = 'worker_twice'
+    WORKER_SILENT = 'worker_silent'
+    WORKER_RESETS = 'worker_resets'
+    WORKER_LIES = 'worker_lies'
+    WORKER_DIES = 'worker_dies'
+    TABLES_IN_SUCCESSION = 'tables_in_succession'
+    TABLES_RACED = 'tables_raced'
+    DATA_CENTRE_OUT = 'data_centre_out'
+
+
+# Planned work, which has to cut nothing.
+PLANNED = (
+    Kind.NODE_STOP,
+    Kind.TABLES_IN_SUCCESSION,
+    Kind.NODE_RELOAD,
+    Kind.DATA_CENTRE_OUT,
+)
+ON_DISKS = frozenset(
+    {
+        Kind.DISK_SLOW,
+        Kind.DISK_FULL,
+        Kind.DISK_FAILS,
+        Kind.DISK_TEARS,
+        Kind.DISK_LOST,
+    }
+)
+ON_WORKERS = frozenset(
+    {
+        Kind.WORKER_GARBLES,
+        Kind.WORKER_LATE,
+        Kind.WORKER_TWICE,
+        Kind.WORKER_SILENT,
+        Kind.WORKER_RESETS,
+        Kind.WORKER_LIES,
+        Kind.WORKER_DIES,
+    }
+)
+ON_OPERATORS = frozenset(
+    {Kind.TABLES_IN_SUCCESSION, Kind.TABLES_RACED, Kind.DATA_CENTRE_OUT}
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Shape:
+    """Who takes part, by name."""
+
+    controls: tuple[str, ...]
+    entries: tuple[str, ...]
+    workers: tuple[str, ...]
+    data_centres: tuple[str, ...]
+
+    @property
+    def nodes(self) -> tuple[str, ...]:
+        """All nodes."""
+        return (*self.controls, *self.entries)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Fault:
+    """One fault: when, for how long, and on whom."""
+
+    at_s: float
+    for_s: float
+    kind: Kind
+    target: str
+    other: str = ''
+    planned: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Schedule:
+    """All faults of a run, and the moments between its phases."""
+
+    faults: tuple[Fault, ...]
+    storm_ends_s: float
+    planned_from_s: float
+    ends_s: float
+
+
+def make_schedule(*, seed: int, storm_s: float, shape: Shape) -> Schedule:
+    """Return overlapping faults, a pause, and planned work one by one."""
+    chosen = random.Random(seed)
+    faults = []
+    at_s = QUIET_S
+    while at_s < storm_s:
+        faults.append(_make_fault(chosen, at_s, storm_s, shape))
+        at_s += chosen.expovariate(1 / MEAN_GAP_S)
+    # Now and then many are killed at the same moment.
+    if chosen.random() < 0.3:
+        together_s = round(chosen.uniform(QUIET_S, storm_s - SHORTEST_S), 3)
+        for node in chosen.sample(shape.nodes, len(shape.nodes) // 2):
+            faults.append(
+                Fault(
+                    at_s=together_s,
+                    for_s=1.0,
+                    kind=Kind.NODE_KILL,
+                    target=node,
+                )
+            )
+    planned_from_s = storm_s + RECOVER_S
+    for number, kind in enumerate(chosen.sample(PLANNED, len(PLANNED))):
+        target = chosen.choice(shape.entries)
+        if kind in ON_OPERATORS:
+            target = chosen.choice(shape.data_centres)
+        faults.append(
+            Fault(
+                at_s=planned_from_s + number * PLANNED_GAP_S,
+                for_s=1.0,
+                kind=kind,
+                target=target,
+                planned=True,
+            )
+        )
+    return Schedule(
+        faults=tuple(sorted(faults, key=lambda fault: fault.at_s)),
+        storm_ends_s=storm_s,
+        planned_from_s=planned_from_s,
+        ends_s=planned_from_s + len(PLANNED) * PLANNED_GAP_S,
+    )
+
+
+def _make_fault(
+    chosen: random.Random, at_s: float, storm_s: float, shape: Shape
+) -> Fault:
+    kind = chosen.choice(list(Kind))
+    other = ''
+    if kind in ON_DISKS:
+        target = chosen.choice(shape.controls)
+    elif kind in ON_WORKERS:
+        target = chosen.choice(shape.workers)
+    elif kind in ON_OPERATORS:
+        target = chosen.choice(shape.data_centres)
+    else:
+        target, other = chosen.sample(shape.nodes, 2)
+    longest_s = max(SHORTEST_S, min(LONGEST_S, storm_s - at_s))
+    return Fault(
+        at_s=round(at_s, 3),
+        for_s=round(chosen.uniform(SHORTEST_S, longest_s), 3),
+        kind=kind,
+        target=target,
+        other=other,
+    )
--- a/tests/platformstandin.py
+++ b/tests/platformstandin.py
@@ -21,11 +21,12 @@
 SETTINGS = """
 [node]
 id = {host}
-data_centre = north
+data_centre = {data_centre}
 data_folder = {data}
 
 [listen]
 host = {host}
+{more}
 caller_address = {caller}
 readiness_address = {ready}
 control_address = {control}
@@ -33,7 +34,7 @@
 [discovery]
 seeds = {seeds}
 first_start = {first}
-data_centres = north,
+data_centres = {data_centres}
 peer_port = {port}
 roles = {role}
 
@@ -43,7 +44,7 @@
 endpoint_lease_s = 2.9
 stall_s = 5.5
 drain_s = 7.0
-ready_grace_s = 0.5
+ready_grace_s = {grace}
 
 [fleet]
 tolerated_losses = 1
@@ -61,14 +62,18 @@
 class Worker:
     """A worker of the platform: plain, or a VM of an engine group."""
 
-    def __init__(self, *, name, service, controls, domain=''):
+    def __init__(
+        self, *, name, service, controls, domain='', data_centre='north'
+    ):
         self.name = name
+        self.data_centre = data_centre
         self.service = service
         self.domain = domain
         self.controls = controls
         self.address = ''
         self.born = int(time.time() * 1000)
         self.sequence = 0
+        self.beat_s = 0.3
         self.group = None
         self.staged = []
         self.run_ids = collections.Counter()
@@ -81,7 +86,7 @@
 
     async def start(self):
         """Listen and announce."""
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        self._server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
         host, port = self._server.sockets[0].getsockname()
         self.address = f'{host}:{port}'
         self._spawn(self._beat_often())
@@ -100,14 +105,14 @@
     async def _beat_often(self):
         while True:
             await self._beat()
-            await asyncio.sleep(0.3)
+            await asyncio.sleep(self.beat_s)
 
     async def _beat(self):
         self.sequence += 1
         body = {
             'service': self.service,
             'address': self.address,
-            'zone': 'north',
+            'zone': self.data_centre,
             'version': 'v1',
             'slot-count': 8,
             'state': 'ready',
@@ -129,8 +134,10 @@
                         if answer.status == 200:
                             return
 
+    def _accept(self, reader, writer):
+        self._spawn(self._serve(reader, writer))
+
     async def _serve(self, reader, writer):
-        self._tasks.add(asyncio.current_task())
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
@@ -153,14 +160,15 @@
         elif target == '/-/report':
             self._write(writer, 200, {}, json.dumps({'pace': 1.0}))
         elif target == '/-/order':
-            self._take_order(json.loads(body))
-            self._write(writer, 202, {})
+            status = self._take_order(json.loads(body))
+            self._write(writer, status, {})
             self._spawn(self._beat())
         else:
             await self._run(headers, writer)
         await writer.drain()
 
     def _take_order(self, order):
+        """Do what was ordered; return the status of the answer."""
         self.orders.append(order)
         match order['operation']:
             case 'join':
@@ -179,6 +187,7 @@
                 self.group = None
             case 'phase':
                 self.staged = [order['model-id']]
+        return 202
 
     async def _run(self, headers, writer):
         attempt = headers['attempt-id']
@@ -254,6 +263,10 @@
                 first='true' if first else 'false',
                 port=self.peer_port,
                 role='control' if is_control else 'entry',
+                data_centre='north',
+                data_centres='north,',
+                more='',
+                grace=0.5,
             )
         )
         log = open(self.folder / f'{host}.log', 'ab')
