Check the soak's checks, and that a blocked log costs callers nothing

Cause: a check that can not fail is none; the writer of lines was tested alone, not while callers are served.

Change: each check of the soak has a test that plants what it must find, the proxies one that holds and resets. `make test` plays a short seed. A test fills the pipe of an entry's standard output, which nobody reads, and goes on calling. The proxies send real resets; they closed before.

--- a/Makefile
+++ b/Makefile
@@ -7,14 +7,18 @@
 EDITABLE = $(foreach package,$(PACKAGES),-e packages/$(package)) -e platform
 # Tests of real processes and disks, which need the machine for themselves.
 REAL = tests/test_fleet_system.py tests/test_storage.py tests/test_system.py
-SOURCES = packages platform tests bench demo
+SOURCES = packages platform tests bench demo soak
+SEED ?= 1
+# The seed and the seconds of faults that the tests play.
+SOAK_IN_TESTS = --seeds 5 --storm-s 6
 
-.PHONY: help install demo run test lint format bench clean
+.PHONY: help install demo run test soak lint format bench clean
 
 help:
 	@echo "make demo    install, start three nodes and serve real requests"
 	@echo "make run     start the demo system and leave it running"
 	@echo "make test    install and run the tests"
+	@echo "make soak    play the faults of a seed, SEED=1 without another"
 	@echo "make lint    check format and style"
 	@echo "make format  rewrite the sources in the project's format"
 	@echo "make bench   measure against the naive versions"
@@ -40,6 +44,10 @@
 test: install
 	$(BIN)/python -m pytest -q -n 5 $(REAL:%=--ignore=%)
 	$(BIN)/python -m pytest -q -n 2 --dist loadfile $(REAL)
+	$(BIN)/python -m soak $(SOAK_IN_TESTS)
+
+soak: install
+	$(BIN)/python -m soak --seeds $(SEED)
 
 lint: install
 	$(BIN)/ruff format --check $(SOURCES)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,14 +13,6 @@
 from soak import record
 from soak import schedule
 
-REGRESSIONS = pathlib.Path('soak/regressions.txt')
-
-
-def read_regressions() -> list[int]:
-    """Return the seeds that ever failed."""
-    lines = REGRESSIONS.read_text(encoding='utf-8').splitlines()
-    return [int(line.split()[0]) for line in lines if line[:1].isdigit()]
-
 
 def describe(played: play.Played) -> dict:
     """Return a row for the report."""
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -24,7 +24,7 @@
     record.CallKind.BID: 1.0,
     record.CallKind.READ: 2.0,
 }
-BY_VERSION_MARK = 404
+MISSING = 404  # the status on a route that is not in force
 # A request that was not read is told so within this time.
 CROSSED_S = 0.2
 
@@ -94,7 +94,7 @@
         f'{probe.entry} at {probe.asked_s:.1f} s: status {probe.status}, '
         f'version {probe.expected} should be in force'
         for probe in seen.probes
-        if probe.status == BY_VERSION_MARK
+        if probe.status == MISSING
         and is_calm(plan, probe.entry, probe.asked_s, probe.asked_s)
     ]
 
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -20,6 +20,7 @@
 STOP_TIMEOUT_S = 15.0
 # Two questions of the balancer, each with its time limit.
 READY_GRACE_S = 2.3
+LOG_LINES_PER_S = 100
 
 
 def make_shape(*, controls: int, entries: int) -> schedule.Shape:
@@ -144,6 +145,7 @@
             data_centres=','.join(DATA_CENTRES),
             more=f'bind_host = {bound}',
             grace=READY_GRACE_S,
+            lines=LOG_LINES_PER_S,
         )
         path.write_text(text)
         log = open(self.folder / f'{name}.log', 'ab')
--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -6,7 +6,11 @@
 import contextlib
 import os
 import pathlib
+import socket
+import struct
 
+# On, for no time: what was not sent is dropped and the peer told so.
+NO_LINGER = struct.pack('ii', 1, 0)
 PIECE_BYTES = 64 * 1024
 OUTSIDE = 'outside'  # the process of the soak itself
 EVERYBODY = '*'
@@ -79,7 +83,7 @@
     def abort(self) -> None:
         """Reset both connections."""
         for writer in self._writers:
-            writer.transport.abort()
+            reset(writer)
 
 
 class Proxy:
@@ -128,7 +132,7 @@
                 *self._forward_to
             )
         except OSError:
-            writer.transport.abort()
+            reset(writer)
             return
         pair = _Pair(
             source=source, target=self._name, writers=(writer, far_writer)
@@ -146,7 +150,8 @@
             pair.abort()
         finally:
             self._links.remove(pair)
-            pair.abort()
+            for open_writer in (writer, far_writer):
+                open_writer.close()
 
     async def _pump(
         self,
@@ -164,6 +169,15 @@
             writer.write_eof()
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """End a connection so that the far end sees a reset."""
+    with contextlib.suppress(OSError):  # it is closed already
+        writer.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
+        )
+    writer.transport.abort()
+
+
 def find_owner(port: int, name_by_pid: dict[int, str]) -> str:
     """Return which of the processes has a connection from a local port."""
     inode = _find_inode(port)
--- a/tests/platformstandin.py
+++ b/tests/platformstandin.py
@@ -48,6 +48,7 @@
 
 [fleet]
 tolerated_losses = 1
+log_lines_per_s = {lines}
 """
 DAEMON = [sys.executable, '-m', 'apricotthread.daemon.main']
 
@@ -247,8 +248,13 @@
         self.process_by_host = {}
         self.workers = []
 
-    async def start_node(self, host, *, first=True, seeds=None):
-        """Start a node, a control node if its address says so."""
+    async def start_node(
+        self, host, *, first=True, seeds=None, lines_per_s=100, stdout=None
+    ):
+        """Start a node, a control node if its address says so.
+
+        Its lines go to a file, or to `stdout`.
+        """
         is_control = host.startswith('127.0.1.')
         data = self.folder / f'data-{host}'
         path = self.folder / f'{host}.ini'
@@ -267,6 +273,7 @@
                 data_centres='north,',
                 more='',
                 grace=0.5,
+                lines=lines_per_s,
             )
         )
         log = open(self.folder / f'{host}.log', 'ab')
@@ -274,10 +281,11 @@
             *DAEMON,
             '--settings',
             str(path),
-            stdout=log,
+            stdout=stdout or log,
             stderr=log,
             env={**os.environ, 'PYTHONUNBUFFERED': '1'},
         )
+        log.close()
 
     async def start(self):
         """Start all nodes."""
--- a/tests/test_fleet_system.py
+++ b/tests/test_fleet_system.py
@@ -3,6 +3,8 @@
 import asyncio
 import copy
 import json
+import os
+import select
 import time
 
 import aiohttp
@@ -11,6 +13,10 @@
 from tests import platformstandin
 from tests import test_platform
 
+TARGET_S = 0.125  # of the calls of the users' deployments
+# A refusal writes three lines of 150 bytes or more; a pipe holds 64 KiB.
+LINES_FOR_A_PIPE = 500
+
 
 def make_config(version, *, keys=('k1',)):
     """Return a configuration of one model of three VMs and one service."""
@@ -304,3 +310,48 @@
         assert ended_at - left_at < 0.5
 
     play(body)
+
+
+def test_a_reader_of_lines_that_stops_reading_costs_callers_nothing(play):
+    """Play refusals, whose lines fill the pipe, and calls between them."""
+
+    async def body(deployment):
+        host = deployment.entries[0]
+        await deployment.stop_node(host)
+        reading, writing = os.pipe()
+        try:
+            await deployment.start_node(
+                host, first=False, lines_per_s=5000, stdout=writing
+            )
+            await deployment.wait_until(lambda: serves(deployment, host))
+            waited_s = []
+            for number in range(LINES_FOR_A_PIPE // 2):
+                status, _, _ = await deployment.ask(
+                    host,
+                    '/lots/1',
+                    Attempt_Id=f'n-{number}',
+                    Model='none',
+                    Token_Usage='10,80',
+                )
+                assert status == 503
+                began_at = time.monotonic()
+                status, _, _ = await deployment.ask(
+                    host, '/reads/1', Attempt_Id=f'r-{number}'
+                )
+                waited_s.append(time.monotonic() - began_at)
+                assert status == 200
+            # No byte was read, and the pipe holds no more.
+            assert not is_writable(writing)
+            waited_s.sort()
+            assert waited_s[len(waited_s) // 2] < TARGET_S
+        finally:
+            os.close(writing)
+            os.close(reading)
+
+    play(body)
+
+
+def is_writable(descriptor):
+    """Whether a pipe takes one more line."""
+    _, ready, _ = select.select([], [descriptor], [], 0)
+    return bool(ready)
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,305 @@
+"""The soak's schedule and checks, each check with a planted fault."""
+
+import asyncio
+import dataclasses
+import os
+
+import pytest
+
+from soak import backends
+from soak import checks
+from soak import deployment
+from soak import proxies
+from soak import record
+from soak import schedule
+
+SHAPE = deployment.make_shape(controls=3, entries=3)
+
+
+@pytest.fixture
+def plan():
+    """Return a schedule whose faults do not touch entry-3."""
+    return schedule.Schedule(
+        faults=(
+            schedule.Fault(
+                at_s=5.0,
+                for_s=2.0,
+                kind=schedule.Kind.NODE_PAUSE,
+                target='entry-1',
+                other='entry-2',
+            ),
+        ),
+        storm_ends_s=10.0,
+        planned_from_s=22.0,
+        ends_s=36.0,
+    )
+
+
+@pytest.fixture
+def seen():
+    """Return what was seen of one request that went well."""
+    kept = record.Record()
+    kept.attempts.append(make_attempt('a-1'))
+    kept.attempts.append(make_attempt('a-9', began_s=25.0, ended_s=25.1))
+    kept.runs.append(record.Run(attempt_id='a-1', worker='bid-1', at_s=1.0))
+    kept.acknowledged.append(record.Acknowledged(version=1, at_s=0.0))
+    kept.read_back.append(record.ReadBack(version=1, asked_s=4.0))
+    return kept
+
+
+def make_attempt(attempt_id, **changes):
+    """Return an attempt of a bid that was answered whole."""
+    whole = record.Attempt(
+        attempt_id=attempt_id,
+        kind=record.CallKind.BID,
+        entry='entry-3',
+        began_s=1.0,
+        ended_s=1.1,
+        outcome=record.Outcome.WHOLE,
+        status=200,
+    )
+    return dataclasses.replace(whole, **changes)
+
+
+def broken(seen, plan):
+    """Return the names of the promises that were broken."""
+    return {
+        name for name, found in checks.check_all(seen, plan).items() if found
+    }
+
+
+# The schedule
+
+
+def test_a_seed_gives_the_same_faults_each_time():
+    first, again, other = (
+        schedule.make_schedule(seed=seed, storm_s=14.0, shape=SHAPE)
+        for seed in (7, 7, 8)
+    )
+    assert first == again
+    assert first != other
+
+
+def test_every_kind_of_fault_comes_and_all_end_with_the_storm():
+    kinds = set()
+    for seed in range(50):
+        plan = schedule.make_schedule(seed=seed, storm_s=14.0, shape=SHAPE)
+        for fault in plan.faults:
+            kinds.add(fault.kind)
+            if not fault.planned:
+                assert fault.at_s + fault.for_s <= 14.0 + schedule.SHORTEST_S
+    assert kinds == set(schedule.Kind)
+
+
+# Each check finds what was planted
+
+
+def test_nothing_is_found_where_all_went_well(seen, plan):
+    assert broken(seen, plan) == set()
+
+
+def test_a_wrong_answer_is_found(seen, plan):
+    seen.attempts.append(make_attempt('a-2', wrong='not the events'))
+    assert broken(seen, plan) == {'answers whole'}
+
+
+def test_a_bid_that_ran_twice_is_found(seen, plan):
+    seen.runs.append(record.Run(attempt_id='a-1', worker='bid-2', at_s=1.0))
+    assert broken(seen, plan) == {'at most once'}
+
+
+def test_a_false_refusal_is_found_also_if_it_runs_later(seen, plan):
+    refused = {'outcome': record.Outcome.REFUSED, 'status': 503}
+    seen.attempts.append(make_attempt('a-2', **refused))
+    assert broken(seen, plan) == set()
+    seen.runs.append(record.Run(attempt_id='a-2', worker='bid-2', at_s=9.0))
+    assert broken(seen, plan) == {'no false "not run"'}
+
+
+def test_a_run_in_a_partial_group_is_found(seen, plan):
+    seen.runs.append(
+        record.Run(
+            attempt_id='s-1', worker='vm-1', at_s=1.0, wrong='never ready'
+        )
+    )
+    assert broken(seen, plan) == {'whole groups'}
+
+
+@pytest.mark.parametrize('version', [0, 1])
+def test_a_table_that_was_acknowledged_and_is_lost_is_found(
+    seen, plan, version
+):
+    seen.acknowledged.append(record.Acknowledged(version=2, at_s=5.0))
+    seen.read_back.append(record.ReadBack(version=2, asked_s=8.0))
+    assert broken(seen, plan) == set()
+    seen.read_back.append(record.ReadBack(version=version, asked_s=9.0))
+    assert broken(seen, plan) == {'tables kept'}
+
+
+def test_an_entry_that_obeys_an_older_table_is_found(seen, plan):
+    late = record.Probe(
+        entry='entry-1', asked_s=6.0, expected=1, status=checks.MISSING
+    )
+    seen.probes.append(late)
+    assert broken(seen, plan) == set()
+    seen.probes.append(dataclasses.replace(late, entry='entry-3'))
+    assert broken(seen, plan) == {'tables in force'}
+
+
+def test_an_answer_cut_by_planned_work_is_found(seen, plan):
+    cut = make_attempt(
+        'a-2', began_s=23.0, ended_s=23.1, outcome=record.Outcome.CUT
+    )
+    whole = [
+        make_attempt(f'w-{n}', began_s=23.0, ended_s=23.1) for n in range(99)
+    ]
+    seen.attempts.extend([cut, *whole])
+    assert broken(seen, plan) == set()
+    seen.runs.append(record.Run(attempt_id='a-2', worker='bid-2', at_s=23.0))
+    assert broken(seen, plan) == {'planned work cuts nothing'}
+
+
+def test_a_refusal_that_was_held_is_found(seen, plan):
+    held = make_attempt(
+        'a-2', ended_s=1.9, outcome=record.Outcome.REFUSED, status=503
+    )
+    seen.attempts.append(held)
+    assert broken(seen, plan) == {'refused at once'}
+
+
+def test_service_that_does_not_come_back_is_found(seen, plan):
+    seen.attempts.extend(
+        make_attempt(
+            f'w-{n}',
+            began_s=25.0,
+            ended_s=25.1,
+            outcome=record.Outcome.FAILED,
+            status=502,
+        )
+        for n in range(9)
+    )
+    assert broken(seen, plan) == {'served again'}
+
+
+def test_a_node_that_ends_by_itself_is_found(seen, plan):
+    seen.exits.append('entry-1 ended with status 1')
+    assert broken(seen, plan) == {'no exits'}
+
+
+# Workers judge their groups
+
+
+def make_order(members, *, group='g1', epoch=3):
+    """Return an order to join."""
+    return {'group': group, 'epoch': epoch, 'member-nodes': members}
+
+
+def test_a_group_may_serve_once_every_member_was_ready(seen):
+    world = backends.World(seen=seen)
+    order = make_order(['vm-1', 'vm-2', 'vm-3'])
+    for vm in ('vm-1', 'vm-2'):
+        world.note_ready(vm, order)
+    assert 'vm-3' in world.judge_group(order)
+    world.note_ready('vm-3', make_order(['vm-1', 'vm-2', 'vm-3'], epoch=2))
+    assert 'vm-3' in world.judge_group(order)
+    world.note_ready('vm-3', order)
+    assert world.judge_group(order) == ''
+    assert world.judge_group(make_order(['vm-1', 'vm-2'])) == 'a group of 2'
+
+
+def test_a_vm_that_leaves_an_open_group_for_another_is_found(seen, plan):
+    world = backends.World(seen=seen)
+    head = backends.Backend(
+        world=world,
+        links=proxies.Links(),
+        name='vm-1',
+        service='models',
+        controls=[],
+    )
+    held = make_order(['vm-1', 'vm-2', 'vm-3'])
+    other = make_order(['vm-2', 'vm-4', 'vm-5'], group='g2', epoch=4)
+    head.is_up = True
+    head.group = {'name': 'g1', 'epoch': 3, 'state': 'ready'}
+    world.note_join('vm-2', held, other)
+    assert broken(seen, plan) == set()
+    head.group['state'] = 'open'
+    world.note_join('vm-2', held, other)
+    assert broken(seen, plan) == {'whole groups'}
+
+
+def test_a_run_long_after_a_data_centre_was_taken_out_is_found(seen, plan):
+    world = backends.World(seen=seen)
+    worker = backends.Backend(
+        world=world,
+        links=proxies.Links(),
+        name='bid-1',
+        service='bids',
+        controls=[],
+        data_centre='south',
+    )
+    world.taken_out_at['south'] = seen.now_s()
+    world.note_run(worker, 'a-5', '')
+    assert broken(seen, plan) == set()
+    world.taken_out_at['south'] -= backends.TAKEN_OUT_S + 0.1
+    world.note_run(worker, 'a-6', '')
+    assert broken(seen, plan) == {'taken out'}
+
+
+# Proxies
+
+
+def test_a_proxy_holds_one_direction_and_resets():
+    async def main():
+        got = []
+
+        async def answer(reader, writer):
+            while data := await reader.read(100):
+                got.append(data)
+                writer.write(data.upper())
+                await writer.drain()
+
+        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        links = proxies.Links()
+        proxy = proxies.Proxy(
+            links=links,
+            name='far',
+            forward_to=server.sockets[0].getsockname(),
+            find_name=lambda port: 'near',
+        )
+        reader, writer = await asyncio.open_connection(
+            *await proxy.open('127.0.0.1')
+        )
+        writer.write(b'one')
+        assert await reader.read(100) == b'ONE'
+        links.hold('far', 'near')
+        writer.write(b'two')
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(reader.read(100), 0.2)
+        assert got == [b'one', b'two']
+        links.release('far', 'near')
+        assert await reader.read(100) == b'TWO'
+        links.reset('near', 'far')
+        with pytest.raises(ConnectionResetError):
+            await reader.read(100)
+        proxy.close()
+        server.close()
+
+    asyncio.run(main())
+
+
+def test_the_owner_of_a_connection_is_found():
+    async def main():
+        server = await asyncio.start_server(
+            lambda reader, writer: None, '127.0.0.1', 0
+        )
+        _, writer = await asyncio.open_connection(
+            *server.sockets[0].getsockname()
+        )
+        port = writer.get_extra_info('sockname')[1]
+        own = {os.getpid(): 'self'}
+        assert proxies.find_owner(port, own) == 'self'
+        assert proxies.find_owner(port, {}) == proxies.OUTSIDE
+        writer.close()
+        server.close()
+
+    asyncio.run(main())
