--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,11 +11,6 @@
 READY_TIMEOUT_S = 1.0
 MISSES = 2  # two questions in a row without a 200 take an entry out
 PAUSE_S = 0.05
-TIME_BUDGET_S = {
-    record.CallKind.STREAM: 5.0,
-    record.CallKind.BID: 1.0,
-    record.CallKind.READ: 2.0,
-}
 PATH_BY_KIND = {
     record.CallKind.STREAM: '/lots/1',
     record.CallKind.BID: '/bids/1',
@@ -130,7 +125,7 @@
     ) -> tuple[record.Outcome, int, str]:
         headers = {
             'Host': 'a.example',
-            'Deadline-Ms': str(int(TIME_BUDGET_S[kind] * 1000)),
+            'Deadline-Ms': str(int(record.TIME_BUDGET_S[kind] * 1000)),
             'X-Api-Key': 'k1',
             'Attempt-Id': attempt_id,
         }
@@ -139,7 +134,7 @@
         status = 0
         try:
             async with (
-                asyncio.timeout(TIME_BUDGET_S[kind] + 0.5),
+                asyncio.timeout(record.TIME_BUDGET_S[kind] + 0.5),
                 session.post(
                     self._url_by_entry[self._entry] + PATH_BY_KIND[kind],
                     headers=headers,
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -18,12 +18,6 @@
 HELD_SHARE = 0.75
 # After the faults are over so much has to be served again.
 SERVED_AGAIN = 0.9
-
-TIME_BUDGET_S = {
-    record.CallKind.STREAM: 5.0,
-    record.CallKind.BID: 1.0,
-    record.CallKind.READ: 2.0,
-}
 MISSING = 404  # the status on a route that is not in force
 # A request that was not read is told so within this time.
 CROSSED_S = 0.2
@@ -121,7 +115,7 @@
         f'{a.ended_s - a.began_s:.2f} s'
         for a in seen.attempts
         if a.outcome is record.Outcome.REFUSED
-        and a.ended_s - a.began_s > HELD_SHARE * TIME_BUDGET_S[a.kind]
+        and a.ended_s - a.began_s > HELD_SHARE * record.TIME_BUDGET_S[a.kind]
         and is_calm(plan, a.entry, a.began_s, a.ended_s)
     ]
 
--- a/soak/record.py
+++ b/soak/record.py
@@ -23,6 +23,14 @@
     READ = 'read'
 
 
+# What callers wait for an answer, as on the users' sheets.
+TIME_BUDGET_S = {
+    CallKind.STREAM: 5.0,
+    CallKind.BID: 1.0,
+    CallKind.READ: 2.0,
+}
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Attempt:
     """One attempt of a caller; times are seconds since the start."""
