--- a/bench/overload.py
+++ b/bench/overload.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import collections
-import sys
 import time
 
 import aiohttp
@@ -136,23 +135,9 @@
         await load.run()
         seen = await site.system.try_status(http, node.node_id)
         group = seen.groups[0].group
-        (port,) = localsystem.find_free_ports(1)
-        naive = await asyncio.create_subprocess_exec(
-            sys.executable,
-            '-m',
-            'bench.naive_entry',
-            str(port),
-            group.head.url,
-            group.group_id,
-        )
-        url = f'http://{localsystem.HOST}:{port}'
-        try:
-            await localsystem.wait_for_status(http, url + '/', 404)
+        async with rig.run_naive_entry(http, group) as (url, _):
             naive_load = Load(url=url, http=http)
             await naive_load.run()
-        finally:
-            naive.kill()
-            await naive.wait()
     rig.write_rows(
         'overload',
         [load.make_row('apricotthread'), naive_load.make_row('naive')],
--- a/bench/rig.py
+++ b/bench/rig.py
@@ -1,6 +1,7 @@
 """What all measurements share: a site, process accounting, results."""
 
 import asyncio
+import collections.abc
 import contextlib
 import csv
 import os
@@ -214,3 +215,26 @@
             yield site, http
         finally:
             await site.stop()
+
+
+@contextlib.asynccontextmanager
+async def run_naive_entry(
+    http: aiohttp.ClientSession, group
+) -> collections.abc.AsyncIterator[tuple[str, int]]:
+    """Run the naive entry before a group; yield its URL and process id."""
+    (port,) = localsystem.find_free_ports(1)
+    naive = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        'bench.naive_entry',
+        str(port),
+        group.head.url,
+        group.group_id,
+    )
+    url = f'http://{localsystem.HOST}:{port}'
+    try:
+        await localsystem.wait_for_status(http, url + '/', 404)
+        yield url, naive.pid
+    finally:
+        naive.kill()
+        await naive.wait()
--- a/bench/slowreaders.py
+++ b/bench/slowreaders.py
@@ -6,7 +6,6 @@
 import asyncio
 import json
 import socket
-import sys
 import time
 
 import aiohttp
@@ -14,7 +13,6 @@
 
 from apricotthread.fakes import answers
 from apricotthread.fakes import engines
-from apricotthread.fakes import localsystem
 from bench import rig
 
 matplotlib.use('Agg')
@@ -220,24 +218,10 @@
     async with rig.run_site(traits=TRAITS) as (site, http):
         node = site.nodes[0]
         seen = await site.system.try_status(http, node.node_id)
-        (port,) = localsystem.find_free_ports(1)
         group = seen.groups[0].group
-        naive = await asyncio.create_subprocess_exec(
-            sys.executable,
-            '-m',
-            'bench.naive_entry',
-            str(port),
-            group.head.url,
-            group.group_id,
-        )
-        url = f'http://{localsystem.HOST}:{port}'
-        try:
-            await localsystem.wait_for_status(http, url + '/', 404)
-            row, lines['naive'] = await measure('naive', url, naive.pid, http)
+        async with rig.run_naive_entry(http, group) as (url, pid):
+            row, lines['naive'] = await measure('naive', url, pid, http)
             rows.append(row | dict.fromkeys(COUNTERS, '-'))
-        finally:
-            naive.kill()
-            await naive.wait()
     path = rig.write_rows('slow_readers', rows)
     draw(lines, path.with_suffix('.png'))
 
