Take a send over a closed connection for a lost connection

Change: a connection between nodes says that it is closed before a write. The test on a real loop of uvloop fails before with the same trace.

--- a/packages/nodes/src/apricotthread/nodes/connections.py
+++ b/packages/nodes/src/apricotthread/nodes/connections.py
@@ -61,8 +61,13 @@
         self._max_frame_bytes = max_frame_bytes
 
     async def send(self, frame: framing.Frame) -> None:
-        """Send a frame, waiting while the peer reads too slowly."""
+        """Send a frame, waiting while the peer reads too slowly.
+
+        Raises OSError if the connection is closed.
+        """
         encoded = framing.encode_frame(frame)
+        if self._writer.is_closing():
+            raise ConnectionResetError('the connection is closed')
         self._recorded.count('peer_frames_sent')
         self._recorded.count('peer_bytes_sent', len(encoded))
         self._writer.write(encoded)
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -5,8 +5,10 @@
 import hypothesis
 from hypothesis import strategies
 import pytest
+import uvloop
 
 from apricotthread.base import errors
+from apricotthread.base import metrics
 from apricotthread.base import settings
 from apricotthread.fakes import driven
 from apricotthread.fakes import localsystem
@@ -149,3 +151,33 @@
         await asyncio.gather(running, linking, return_exceptions=True)
 
     asyncio.run(main())
+
+
+def test_sending_over_a_connection_that_was_closed_is_a_lost_connection():
+    """A loop of uvloop has a type of its own for this, which is no fault."""
+
+    async def main():
+        port = localsystem.find_free_ports(1)[0]
+        address = settings.NodeAddress(
+            node_id='a1',
+            data_centre='north',
+            host=localsystem.HOST,
+            peer_port=port,
+            roles=frozenset({settings.Role.CONTROL}),
+        )
+        network = connections.TcpNetwork(
+            max_frame_bytes=1024, recorded=metrics.Metrics()
+        )
+        serving = asyncio.create_task(network.serve(address, hold))
+        await asyncio.sleep(0.1)
+        connection = await network.dial(address)
+        connection.close()
+        await asyncio.sleep(0.05)
+        with pytest.raises(OSError, match='closed'):
+            await connection.send(framing.Frame(request_id=1, body=GREETING))
+        serving.cancel()
+
+    async def hold(connection):
+        await asyncio.sleep(1.0)
+
+    uvloop.run(main())
