Count a connection that failed as no attempt, not as one less

An attempt is counted once it is connected, but one that failed to connect was taken off the count again, so the request had one more.

Ruled out: lost endpoints (the three workers stayed, and answered 500), repeats of the client (one attempt id).

Change: only an attempt that was counted is taken off, when its endpoint was lost. The test plays endpoints that accept nothing before some that fail, and fails on the code before with one and three of them.

--- a/packages/gateway/src/apricotthread/gateway/forwarder.py
+++ b/packages/gateway/src/apricotthread/gateway/forwarder.py
@@ -58,6 +58,7 @@
     # Sealed by the endpoint: may go to the caller as it is.
     answer: connections.Answer | None = None
     body: bytes = b''
+    # The attempt does not count, as the endpoint has ended or was cut off.
     endpoint_is_lost: bool = False
 
 
@@ -597,9 +598,8 @@
             of._note_failure(replica)
             if replica.group_id:
                 of._seen.note_stall(replica)
-            raise _Failure(
-                reason=error.reason, not_run=True, endpoint_is_lost=True
-            ) from error
+            # Nothing was sent, so no attempt was counted.
+            raise _Failure(reason=error.reason, not_run=True) from error
         except BaseException:
             of._loads.end(replica.endpoint_id)
             raise
--- /dev/null
+++ b/tests/test_forwarder.py
@@ -0,0 +1,170 @@
+"""The forwarder's attempts, on endpoints that fail."""
+
+import types
+
+import pytest
+
+from apricotthread.control import routetables
+from apricotthread.endpoints import connections
+from apricotthread.fakes import driven
+from apricotthread.fleet import view
+from apricotthread.gateway import budgets
+from apricotthread.gateway import forwarder
+from apricotthread.gateway import loads
+from apricotthread.gateway import requests
+from apricotthread.gateway import stories
+
+ATTEMPTS = 2
+ROUTE = routetables.Route(
+    name='reads',
+    host='a.example',
+    prefix='/reads/',
+    shares=(routetables.Share(service='reads', weight=1.0),),
+    repeat=routetables.Repeat.ANY,
+    is_stream=False,
+    timeout_s=1.0,
+    target_s=0.1,
+    priority=1,
+    max_attempts=ATTEMPTS,
+)
+SERVICE = routetables.Service(
+    name='reads',
+    health_path='/health',
+    max_connections=10,
+    cold_start_s=0.0,
+    cold_requests_per_s=0.0,
+)
+CALLER = requests.CallerRequest(
+    request_id='r-1',
+    method='POST',
+    target=b'/reads/1',
+    host='a.example',
+    path='/reads/1',
+    headers=[],
+    key='',
+    time_left_s=None,
+    last_event_id=0,
+    model='',
+    prompt_tokens=0,
+    output_tokens=0,
+)
+
+
+class Pool:
+    """Endpoints of which some accept nothing, and the others fail."""
+
+    def __init__(self, *, dead):
+        self.dead = dead
+        self.ran_at = []
+
+    async def acquire(self, address, *, must_be_fresh):
+        """Return a connection, or lose it."""
+        if address in self.dead:
+            raise connections.ConnectionLost(reason='refused', sent=False)
+        return types.SimpleNamespace(
+            start=lambda request: self.ran_at.append(address),
+            read_head=self._read_head,
+            read=self._read,
+        )
+
+    def release(self, connection):
+        """Take a connection back."""
+
+    async def _read_head(self):
+        return connections.Answer(status=500, headers=[])
+
+    async def _read(self):
+        return b''
+
+
+class Sink:
+    """Keeps the status of the answer."""
+
+    started = False
+    status = 0
+
+    async def start(self, status, headers):
+        """Take the head."""
+        self.started = True
+        self.status = status
+
+    async def write(self, data):
+        """Take a part of the body."""
+
+    async def end(self):
+        """End the body."""
+
+
+def make_forwarder(env, pool, addresses):
+    """Return a forwarder before workers at these addresses."""
+    replicas = [
+        view.Replica(
+            endpoint_id=address,
+            address=address,
+            data_centre='north',
+            model='',
+            slots=8,
+        )
+        for address in addresses
+    ]
+    facts = requests.AnswerFacts(
+        request_id='r-1', is_sealed=True, not_run=False, endpoint_id=''
+    )
+    return forwarder.Forwarder(
+        env=env,
+        fleet=types.SimpleNamespace(
+            replicas=lambda service: replicas,
+            cold_for_s=lambda endpoint_id: 0.0,
+            is_sound=lambda endpoint_id: True,
+            is_replica=lambda replica: True,
+            entry_count=1,
+            applied_index=1,
+        ),
+        pool=pool,
+        dialect=types.SimpleNamespace(
+            write_request=lambda job, **values: b'',
+            read_answer=lambda answer: facts,
+            answer_headers=lambda answer: [],
+        ),
+        load_table=loads.LoadTable(env=env),
+        budget=budgets.RepeatBudget(
+            env=env, ratio=1.0, slack=100.0, window_s=10.0
+        ),
+        watch=None,
+        seen=types.SimpleNamespace(
+            has_callers=False,
+            is_stalled=lambda replica: False,
+            works=lambda replica: True,
+            slowness=lambda replica: 1.0,
+        ),
+        own_data_centre='north',
+        cold_overshoot=1.0,
+    )
+
+
+@pytest.mark.parametrize('dead', [0, 1, 3])
+def test_no_request_runs_at_more_endpoints_than_its_route_allows(env, dead):
+    """Endpoints that accept nothing come first, then some that fail."""
+
+    async def main():
+        addresses = [f'w-{number}' for number in range(7)]
+        pool = Pool(dead=addresses[:dead])
+        sink = Sink()
+        now = env.timer.now()
+        await make_forwarder(env, pool, addresses).forward(
+            requests.Job(
+                caller=CALLER,
+                body=b'',
+                route=ROUTE,
+                service=SERVICE,
+                account='',
+                deadline=now + 1.0,
+                received_at=now,
+            ),
+            sink,
+            stories.Story(env=env, request_id='r-1'),
+        )
+        assert sink.status == 500
+        assert len(pool.ran_at) == ATTEMPTS
+
+    driven.run(main())
