Let a node end while its disk fails, and start it again

Ruled out: a fault of the node (the line says which file and why, the exit status is that of an error; no promise to callers broke).

Change: the platform's rules except an end during a disturbance of the machine and a second after; so does the check, and a supervisor starts the node again. A test shows that an exit without such a fault is still found.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import json
+import math
 import os
 import pathlib
 import shutil
 import signal
 import sys
+import time
 
 from soak import backends
 from soak import proxies
@@ -18,6 +20,10 @@
 VMS = 9
 PLAIN_WORKERS = 3
 STOP_TIMEOUT_S = 15.0
+# A process may end by itself while its disk fails, and so long after (the
+# platform's rules).
+EXIT_AFTER_S = 1.0
+RESTART_S = 0.5
 # Two questions of the balancer, each with its time limit.
 READY_GRACE_S = 2.3
 LOG_LINES_PER_S = 100
@@ -68,6 +74,7 @@
         self._name_by_pid: dict[int, str] = {}
         self._proxies: list[proxies.Proxy] = []
         self._expected_exits: set[int] = set()
+        self._disk_fails_until: dict[str, float] = {}
         self.is_closing = False
 
     def url_by_entry(self, port: int) -> dict[str, str]:
@@ -164,14 +171,21 @@
         log.close()
         self.process_by_host[name] = process
         self._name_by_pid[process.pid] = name
-        asyncio.create_task(self._watch(name, process))
+        asyncio.create_task(self.watch(name, process))
 
-    async def _watch(self, name: str, process) -> None:
+    async def watch(self, name: str, process) -> None:
         """Note a node that ends by itself."""
         status = await process.wait()
         self._name_by_pid.pop(process.pid, None)
-        if process.pid not in self._expected_exits and not self.is_closing:
+        if process.pid in self._expected_exits or self.is_closing:
+            return
+        if time.monotonic() > self._disk_fails_until.get(name, 0.0):
             self.seen.exits.append(f'{name} ended with status {status}')
+            return
+        # Without a disk it can not start; a supervisor tries again.
+        await asyncio.sleep(RESTART_S)
+        if self.process_by_host.get(name) is process and not self.is_closing:
+            await self.start_named(name, first=False)
 
     def data_folder(self, name: str) -> pathlib.Path:
         """Return the disk of a node."""
@@ -183,6 +197,10 @@
 
     def set_fault(self, name: str, **faults) -> None:
         """Have a node's disk or time of day fail, or be right again."""
+        if 'disk' in faults:
+            self._disk_fails_until[name] = math.inf
+        elif name in self._disk_fails_until:
+            self._disk_fails_until[name] = time.monotonic() + EXIT_AFTER_S
         path = self.fault_file(name)
         new = path.with_suffix('.new')
         new.write_text(json.dumps(faults))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -186,6 +186,22 @@
     assert broken(seen, plan) == {'no exits'}
 
 
+@pytest.mark.parametrize(('disk_fails', 'found'), [(True, 0), (False, 1)])
+def test_an_exit_counts_unless_the_disk_of_the_node_fails(
+    seen, tmp_path, disk_fails, found
+):
+    async def main():
+        site = deployment.Deployment(folder=tmp_path, shape=SHAPE, seen=seen)
+        site.set_fault(
+            'control-1', **({'disk': 'fails'} if disk_fails else {})
+        )
+        process = await asyncio.create_subprocess_exec('false')
+        await site.watch('control-1', process)
+        assert len(seen.exits) == found
+
+    asyncio.run(main())
+
+
 # Workers judge their groups
 
 
