Keep the platform's names out of the soak

Cause: the soak wrote the platform's headers, paths and fields itself; the test that looks for such names read `packages` only.

Change: the stand-in of the platform decodes orders into `Order` and `Place`, and writes headers, paths, announcements and configurations; the soak and the tests of the system use one `make_config`. The test reads `packages`, `soak`, `bench` and `demo`: stricter than before, it failed on the soak as it was.

No source of a node changed.

--- a/soak/backends.py
+++ b/soak/backends.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import json
 import time
 
 from soak import proxies
@@ -14,8 +13,6 @@
 JOIN_S = 0.2  # a member that ran the model before
 FORM_S = 0.1
 LATE_S = 1.5
-ACCEPTED = 202
-PRECONDITION_FAILED = 412
 # From the acknowledgement of an evacuation until nothing new may come.
 TAKEN_OUT_S = 5.0
 GROUP_SIZE = 3
@@ -30,38 +27,43 @@
         self._was_ready: set[tuple] = set()
         self.taken_out_at: dict[str, float] = {}
 
-    def note_ready(self, vm: str, order: dict) -> None:
+    def note_ready(self, vm: str, order: platformstandin.Order) -> None:
         """Remember that a VM was ready in a group of these members."""
-        self._was_ready.add((vm, *_group_key(order)))
+        self._was_ready.add((vm, *order.group_key))
 
-    def judge_group(self, order: dict | None) -> str:
+    def judge_group(self, order: platformstandin.Order | None) -> str:
         """Return why the group of a head may not serve, '' if it may."""
         if order is None:
             return 'the head is in no group'
-        members = order['member-nodes']
+        members = order.member_ids
         if len(members) != GROUP_SIZE:
             return f'a group of {len(members)}'
         missing = [
             vm
             for vm in members
-            if (vm, *_group_key(order)) not in self._was_ready
+            if (vm, *order.group_key) not in self._was_ready
         ]
         return f'never ready: {missing}' if missing else ''
 
-    def note_join(self, vm: str, held: dict | None, order: dict) -> None:
+    def note_join(
+        self,
+        vm: str,
+        held: platformstandin.Order | None,
+        order: platformstandin.Order,
+    ) -> None:
         """Check that a VM does not leave a group whose head may serve."""
-        if held is None or held['group'] == order['group']:
+        if held is None or held.group_id == order.group_id:
             return
-        head = self.worker_by_name.get(held['member-nodes'][0])
-        if head is None or not head.is_up or head.group is None:
+        head = self.worker_by_name.get(held.member_ids[0])
+        if head is None or not head.is_up or head.place is None:
             return
         if (
-            head.group['name'] == held['group']
-            and head.group['epoch'] == held['epoch']
-            and head.group['state'] in ('open', 'closing')
+            head.place.group_id == held.group_id
+            and head.place.epoch == held.epoch
+            and head.place.state in ('open', 'closing')
         ):
             self.seen.double_members.append(
-                f'{vm} joins {order["group"]} while {held["group"]} is open'
+                f'{vm} joins {order.group_id} while {held.group_id} is open'
             )
 
     def note_run(self, worker: 'Backend', attempt_id: str, wrong: str) -> None:
@@ -82,10 +84,6 @@
             )
 
 
-def _group_key(order: dict) -> tuple:
-    return (order['group'], order['epoch'], tuple(order['member-nodes']))
-
-
 class Backend(platformstandin.Worker):
     """A worker behind a proxy, with one of several faults."""
 
@@ -125,7 +123,7 @@
         await asyncio.sleep(down_s)
         self.born = int(time.time() * 1000)
         self.sequence = 0
-        self.group = None
+        self.place = None
         self._order = None
         self._fence = 0
         await self.start_behind(self._find_name)
@@ -142,51 +140,45 @@
 
     def _take_order(self, order):
         """Refuse what is older than something seen, as workers do."""
-        if order.get('fence', 0) < self._fence:
-            return PRECONDITION_FAILED
-        self._fence = order.get('fence', 0)
-        if order['operation'] != 'join':
-            held = self._order or {}
-            named = (order.get('group'), order.get('epoch'))
-            if order['operation'] == 'phase' or (
-                named == (held.get('group'), held.get('epoch'))
-            ):
+        if order.fence < self._fence:
+            return platformstandin.PRECONDITION_FAILED
+        self._fence = order.fence
+        held = self._order
+        if order.kind != 'join':
+            names_held = held is not None and (
+                (order.group_id, order.epoch) == (held.group_id, held.epoch)
+            )
+            if order.kind == 'phase' or names_held:
                 super()._take_order(order)
-                if self.group is None:
+                if self.place is None:
                     self._order = None
-            return ACCEPTED
-        held = self._order
-        if held is not None and order['epoch'] < held['epoch']:
-            return PRECONDITION_FAILED
-        if held is not None and _group_key(held) == _group_key(order):
-            return ACCEPTED
+            return platformstandin.ACCEPTED
+        if held is not None and order.epoch < held.epoch:
+            return platformstandin.PRECONDITION_FAILED
+        if held is not None and held.group_key == order.group_key:
+            return platformstandin.ACCEPTED
         self._world.note_join(self.name, held, order)
-        super()._take_order(order)
+        status = super()._take_order(order)
         self._order = order
-        self.group['state'] = 'joining'
+        self.place.state = 'joining'
         self._spawn(self._get_ready(order))
-        return ACCEPTED
+        return status
 
     async def _get_ready(self, order) -> None:
         await asyncio.sleep(JOIN_S)
-        if self._order == order and self.group['state'] == 'joining':
-            self.group['state'] = 'ready'
+        if self._order == order and self.place.state == 'joining':
+            self.place.state = 'ready'
             self._world.note_ready(self.name, order)
             await self._beat()
 
     async def _run(self, headers, writer):
-        attempt_id = headers['attempt-id']
         wrong = ''
         if 'model' in headers:
-            if self.group is None or self.group['state'] != 'open':
-                self._write(
-                    writer,
-                    503,
-                    {'Not-Executed': '1', 'Attempt-Id': attempt_id},
-                )
+            if self.place is None or self.place.state != 'open':
+                self._reject(writer, headers)
                 return
             wrong = self._world.judge_group(self._order)
-        self._world.note_run(self, attempt_id, wrong)
+        self._world.note_run(self, self.attempt_of(headers), wrong)
         match self.fault:
             case schedule.Kind.WORKER_LATE:
                 await asyncio.sleep(LATE_S)
@@ -199,12 +191,7 @@
                 return
             case schedule.Kind.WORKER_TWICE:
                 await super()._run(headers, writer)
-                self._write(
-                    writer,
-                    200,
-                    {'Attempt-Id': attempt_id, 'Response-Seal': 'again'},
-                    'a second answer',
-                )
+                self._answer_again(writer, headers)
                 return
         await super()._run(headers, writer)
 
@@ -212,24 +199,8 @@
         if self.fault is schedule.Kind.WORKER_LIES:
             # Bytes that are no announcement, and one of another writer.
             with contextlib.suppress(OSError):
-                await self._post(b'{"service": 7, "address": [', self.name)
-                await self._post(
-                    json.dumps({'service': 'nobody'}).encode(), 'stranger'
+                await self._announce_bytes(b'{"service": 7, ', name=self.name)
+                await self._announce_bytes(
+                    b'{"service": "nobody"}', name='stranger'
                 )
         await super()._beat()
-
-    async def _post(self, body: bytes, name: str) -> None:
-        host, port = self.controls[0].rsplit(':', 1)
-        reader, writer = await asyncio.open_connection(host, int(port))
-        writer.write(
-            (
-                f'POST /-/instances/{name}/heartbeat HTTP/1.1\r\n'
-                f'Host: {host}\r\nContent-Length: {len(body)}\r\n'
-                'Connection: close\r\n\r\n'
-            ).encode()
-            + body
-        )
-        await writer.drain()
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(reader.read(), 0.5)
-        writer.close()
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 from soak import record
+from tests import platformstandin
 
 POLL_S = 0.5
 READY_TIMEOUT_S = 1.0
@@ -123,14 +124,11 @@
         kind: record.CallKind,
         attempt_id: str,
     ) -> tuple[record.Outcome, int, str]:
-        headers = {
-            'Host': 'a.example',
-            'Deadline-Ms': str(int(record.TIME_BUDGET_S[kind] * 1000)),
-            'X-Api-Key': 'k1',
-            'Attempt-Id': attempt_id,
-        }
-        if kind is record.CallKind.STREAM:
-            headers.update({'Model': 'm0', 'Token-Usage': '10,80'})
+        headers = platformstandin.caller_headers(
+            attempt_id,
+            budget_s=record.TIME_BUDGET_S[kind],
+            model='m0' if kind is record.CallKind.STREAM else '',
+        )
         status = 0
         try:
             async with (
@@ -162,7 +160,7 @@
         if status != 200:
             return record.Outcome.FAILED, status, ''
         wrong = ''
-        if answer.headers.get('Response-Seal') != f'seal-{attempt_id}':
+        if not platformstandin.is_sealed_for(answer.headers, attempt_id):
             wrong = 'sealed for another request'
         elif kind is record.CallKind.STREAM:
             expected = ''.join(
@@ -203,7 +201,9 @@
                 try:
                     async with session.get(
                         f'{url_by_entry[entry]}/version-{expected}/x',
-                        headers={'Host': 'a.example', 'Attempt-Id': 'probe'},
+                        headers=platformstandin.caller_headers(
+                            'probe', budget_s=1.0
+                        ),
                     ) as answer:
                         status = answer.status
                 except (aiohttp.ClientError, TimeoutError, OSError):
--- a/soak/operators.py
+++ b/soak/operators.py
@@ -1,7 +1,6 @@
 """Operators who hand in tables and take data centres out."""
 
 import asyncio
-import copy
 import json
 import random
 
@@ -9,7 +8,7 @@
 
 from soak import backends
 from soak import record
-from tests import test_platform
+from tests import platformstandin
 
 CALL_TIMEOUT_S = 1.5
 RETRY_S = 0.2
@@ -20,25 +19,11 @@
 
 def make_table(version: int) -> bytes:
     """Return a table with a route for each version up to this one."""
-    table = copy.deepcopy(test_platform.CONFIG)
-    table['version'] = version
-    stream, bid = table['routes']
-    del stream['traffic-split']
-    stream['service'] = 'models'
-    read = {**bid, 'kind': 'idempotent', 'max-attempts': 2}
-    table['routes'].append({**read, 'name': 'r-3', 'path-prefix': '/reads/'})
-    for number in range(1, version + 1):
-        table['routes'].append(
-            {
-                **read,
-                'name': f'version-{number}',
-                'path-prefix': f'/version-{number}/',
-                'public': True,
-            }
-        )
-    (model,) = table['services'][0]['engine-profile']['model-ids']
-    model.update({'size': backends.GROUP_SIZE, 'traffic-share': 1.0})
-    return json.dumps(table).encode()
+    return platformstandin.make_config(
+        version,
+        group_size=backends.GROUP_SIZE,
+        extra_prefixes=[f'/version-{n}/' for n in range(1, version + 1)],
+    )
 
 
 class Operators:
@@ -77,7 +62,9 @@
         await asyncio.gather(self.hand_in(), self.hand_in())
 
     async def _hand_in(self, version: int) -> None:
-        status = await self._call('/-/config/put', make_table(version))
+        status = await self._call(
+            platformstandin.PUT_TABLE_PATH, make_table(version)
+        )
         if status == 200:
             self._seen.acknowledged.append(
                 record.Acknowledged(version=version, at_s=self._seen.now_s())
@@ -85,14 +72,15 @@
 
     async def take_out(self, data_centre: str) -> None:
         """Have nothing more sent to a data centre."""
-        path = f'/-/evacuations/{data_centre}/start'
+        path = platformstandin.evacuation_path(data_centre, out=True)
         if await self._call(path, b'') == 200:
             self._world.taken_out_at[data_centre] = self._seen.now_s()
 
     async def bring_back(self, data_centre: str) -> None:
         """Take an evacuation back."""
         self._world.taken_out_at.pop(data_centre, None)
-        await self._call(f'/-/evacuations/{data_centre}/end', b'')
+        path = platformstandin.evacuation_path(data_centre, out=False)
+        await self._call(path, b'')
 
     async def _call(self, path: str, body: bytes) -> int:
         """Call control nodes until one gives a clear answer."""
@@ -127,7 +115,7 @@
         try:
             async with aiohttp.ClientSession(timeout=timeout) as session:
                 async with session.get(
-                    f'http://{control}/-/config/get'
+                    f'http://{control}{platformstandin.GET_TABLE_PATH}'
                 ) as answer:
                     text = await answer.read()
         except (aiohttp.ClientError, TimeoutError, OSError):
--- a/soak/play.py
+++ b/soak/play.py
@@ -13,6 +13,7 @@
 from soak import proxies
 from soak import record
 from soak import schedule
+from tests import platformstandin
 
 CALLERS = 8
 EVENTS = 12  # of each stream
@@ -99,7 +100,7 @@
         url_by_entry = site.url_by_entry(site.caller_port)
         balancer = callers.Balancer(
             url_by_entry={
-                name: f'{url}/-/ready'
+                name: url + platformstandin.READY_PATH
                 for name, url in site.url_by_entry(site.ready_port).items()
             }
         )
--- a/tests/platformstandin.py
+++ b/tests/platformstandin.py
@@ -7,6 +7,8 @@
 import asyncio
 import collections
 import contextlib
+import copy
+import dataclasses
 import json
 import os
 import pathlib
@@ -18,6 +20,8 @@
 
 import aiohttp
 
+from tests import test_platform
+
 SETTINGS = """
 [node]
 id = {host}
@@ -50,9 +54,101 @@
 tolerated_losses = 1
 log_lines_per_s = {lines}
 """
+READY_PATH = '/-/ready'
+PUT_TABLE_PATH = '/-/config/put'
+GET_TABLE_PATH = '/-/config/get'
+ACCEPTED = 202
+PRECONDITION_FAILED = 412
+NOT_RUN = 503
 DAEMON = [sys.executable, '-m', 'apricotthread.daemon.main']
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Order:
+    """An order to a worker, as its sender meant it."""
+
+    kind: str
+    fence: int = 0
+    group_id: str = ''
+    epoch: int = 0
+    member_ids: tuple[str, ...] = ()
+    model: str = ''
+
+    @property
+    def group_key(self):
+        """What tells a membership from all others."""
+        return (self.group_id, self.epoch, self.member_ids)
+
+
+@dataclasses.dataclass(kw_only=True)
+class Place:
+    """A worker's place in a group."""
+
+    group_id: str
+    epoch: int
+    rank: int
+    state: str
+
+
+def read_order(body):
+    """Return the order in the body of a call."""
+    order = json.loads(body)
+    return Order(
+        kind=order['operation'],
+        fence=order.get('fence', 0),
+        group_id=order.get('group', ''),
+        epoch=order.get('epoch', 0),
+        member_ids=tuple(order.get('member-nodes', ())),
+        model=order.get('model-id', ''),
+    )
+
+
+def evacuation_path(data_centre, *, out):
+    """Return where a data centre is taken out, or brought back."""
+    return f'/-/evacuations/{data_centre}/{"start" if out else "end"}'
+
+
+def caller_headers(attempt_id, *, budget_s, model='', key='k1'):
+    """Return what a caller says of a request."""
+    headers = {
+        'Host': 'a.example',
+        'Deadline-Ms': str(int(budget_s * 1000)),
+        'X-Api-Key': key,
+        'Attempt-Id': attempt_id,
+    }
+    if model:
+        headers.update({'Model': model, 'Token-Usage': '10,80'})
+    return headers
+
+
+def is_sealed_for(headers, attempt_id):
+    """Whether an answer is sealed by a worker for this attempt."""
+    return headers.get('Response-Seal') == f'seal-{attempt_id}'
+
+
+def make_config(version, *, keys=('k1',), group_size=3, extra_prefixes=()):
+    """Return a configuration of one model and one plain service.
+
+    Extra routes are open to all and lead to the plain service.
+    """
+    config = copy.deepcopy(test_platform.CONFIG)
+    config['version'] = version
+    stream, bid = config['routes']
+    del stream['traffic-split']
+    stream['service'] = 'models'
+    read = {**bid, 'kind': 'idempotent', 'max-attempts': 2}
+    config['routes'].append({**read, 'name': 'r-3', 'path-prefix': '/reads/'})
+    config['routes'].extend(
+        {**read, 'name': f'extra{prefix}', 'path-prefix': prefix}
+        | {'public': True}
+        for prefix in extra_prefixes
+    )
+    config['tenants'][0]['api-keys'] = list(keys)
+    (model,) = config['services'][0]['engine-profile']['model-ids']
+    model.update({'size': group_size, 'traffic-share': 1.0})
+    return json.dumps(config).encode()
+
+
 def free_port():
     """Return a port that nobody listens at."""
     with socket.socket() as probe:
@@ -75,7 +171,7 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.beat_s = 0.3
-        self.group = None
+        self.place = None
         self.staged = []
         self.run_ids = collections.Counter()
         self.cut_ids = []
@@ -123,8 +219,13 @@
             'prestaged': self.staged,
             'fault-domain': self.domain,
         }
-        if self.group is not None:
-            body['group'] = self.group
+        if self.place is not None:
+            body['group'] = {
+                'name': self.place.group_id,
+                'epoch': self.place.epoch,
+                'rank': self.place.rank,
+                'state': self.place.state,
+            }
         async with aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=0.5)
         ) as session:
@@ -161,7 +262,7 @@
         elif target == '/-/report':
             self._write(writer, 200, {}, json.dumps({'pace': 1.0}))
         elif target == '/-/order':
-            status = self._take_order(json.loads(body))
+            status = self._take_order(read_order(body))
             self._write(writer, status, {})
             self._spawn(self._beat())
         else:
@@ -171,24 +272,24 @@
     def _take_order(self, order):
         """Do what was ordered; return the status of the answer."""
         self.orders.append(order)
-        match order['operation']:
+        match order.kind:
             case 'join':
-                self.staged = [order['model-id']]
-                self.group = {
-                    'name': order['group'],
-                    'epoch': order['epoch'],
-                    'rank': order['member-nodes'].index(self.name),
-                    'state': 'ready',
-                }
+                self.staged = [order.model]
+                self.place = Place(
+                    group_id=order.group_id,
+                    epoch=order.epoch,
+                    rank=order.member_ids.index(self.name),
+                    state='ready',
+                )
             case 'open':
-                self.group['state'] = 'open'
+                self.place.state = 'open'
             case 'close':
-                self.group['state'] = 'ready'
+                self.place.state = 'ready'
             case 'leave':
-                self.group = None
+                self.place = None
             case 'phase':
-                self.staged = [order['model-id']]
-        return 202
+                self.staged = [order.model]
+        return ACCEPTED
 
     async def _run(self, headers, writer):
         attempt = headers['attempt-id']
@@ -223,6 +324,38 @@
             raise
         writer.write(b'0\r\n\r\n')
 
+    def attempt_of(self, headers):
+        """Return the id of a caller's attempt."""
+        return headers['attempt-id']
+
+    def _reject(self, writer, headers):
+        """Say that a request was not run, and never will be."""
+        said = {'Not-Executed': '1', 'Attempt-Id': headers['attempt-id']}
+        self._write(writer, NOT_RUN, said)
+
+    def _answer_again(self, writer, headers):
+        """Send a second answer to a request that was answered."""
+        said = {
+            'Attempt-Id': headers['attempt-id'],
+            'Response-Seal': 'again',
+        }
+        self._write(writer, 200, said, 'a second answer')
+
+    async def _announce_bytes(self, body, *, name):
+        """Send any bytes as the announcement of any worker."""
+        host, port = self.controls[0].rsplit(':', 1)
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = (
+            f'POST /-/instances/{name}/heartbeat HTTP/1.1\r\n'
+            f'Host: {host}\r\nContent-Length: {len(body)}\r\n'
+            'Connection: close\r\n\r\n'
+        )
+        writer.write(head.encode() + body)
+        await writer.drain()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(reader.read(), 0.5)
+        writer.close()
+
     def _write(self, writer, status, headers, body=''):
         lines = ''.join(f'{k}: {v}\r\n' for k, v in headers.items())
         writer.write(
--- a/tests/test_fleet_system.py
+++ b/tests/test_fleet_system.py
@@ -1,7 +1,6 @@
 """Real nodes that find each other, before a stand-in of the platform."""
 
 import asyncio
-import copy
 import json
 import os
 import select
@@ -11,34 +10,12 @@
 import pytest
 
 from tests import platformstandin
-from tests import test_platform
 
 TARGET_S = 0.125  # of the calls of the users' deployments
 # A refusal writes three lines of 150 bytes or more; a pipe holds 64 KiB.
 LINES_FOR_A_PIPE = 500
 
 
-def make_config(version, *, keys=('k1',)):
-    """Return a configuration of one model of three VMs and one service."""
-    config = copy.deepcopy(test_platform.CONFIG)
-    config['version'] = version
-    stream, bid = config['routes']
-    del stream['traffic-split']
-    stream['service'] = 'models'
-    read = {
-        **bid,
-        'name': 'r-3',
-        'path-prefix': '/reads/',
-        'kind': 'idempotent',
-        'max-attempts': 2,
-    }
-    config['routes'].append(read)
-    config['tenants'][0]['api-keys'] = list(keys)
-    (model,) = config['services'][0]['engine-profile']['model-ids']
-    model.update({'size': 3, 'traffic-share': 1.0})
-    return json.dumps(config).encode()
-
-
 @pytest.fixture
 def play(tmp_path):
     """Return a runner of a body on a deployment that serves."""
@@ -49,7 +26,7 @@
             try:
                 await deployment.start()
                 status, _ = await deployment.call_control(
-                    '/-/config/put', make_config(1)
+                    '/-/config/put', platformstandin.make_config(1)
                 )
                 assert status == 200
                 for number in range(2):
@@ -111,7 +88,7 @@
             order
             for worker in deployment.workers
             for order in worker.orders
-            if order['operation'] == 'open'
+            if order.kind == 'open'
         ]
         assert len(opened) == 1
 
@@ -156,7 +133,7 @@
             await deployment.start_node(host, first=False)
             version += 1
             status, _ = await deployment.call_control(
-                '/-/config/put', make_config(version)
+                '/-/config/put', platformstandin.make_config(version)
             )
             assert status == 200
             await deployment.wait_until(
@@ -164,7 +141,7 @@
             )
         status, text = await deployment.call_control('/-/config/get')
         assert json.loads(text)['version'] == version
-        assert text == make_config(version)
+        assert text == platformstandin.make_config(version)
 
     play(body)
 
@@ -185,12 +162,17 @@
 
 def test_an_older_or_other_table_is_acknowledged_and_changes_nothing(play):
     async def body(deployment):
-        await deployment.call_control('/-/config/put', make_config(9))
-        for late in (make_config(8), make_config(9, keys=('k9',))):
+        await deployment.call_control(
+            '/-/config/put', platformstandin.make_config(9)
+        )
+        for late in (
+            platformstandin.make_config(8),
+            platformstandin.make_config(9, keys=('k9',)),
+        ):
             status, _ = await deployment.call_control('/-/config/put', late)
             assert status == 200
         _, text = await deployment.call_control('/-/config/get')
-        assert text == make_config(9)
+        assert text == platformstandin.make_config(9)
         status, _ = await deployment.call_control('/-/config/put', b'{"ver')
         assert status == 400
 
@@ -200,7 +182,7 @@
 def test_a_revoked_key_stops_working_within_two_seconds(play):
     async def body(deployment):
         await deployment.call_control(
-            '/-/config/put', make_config(2, keys=('k2',))
+            '/-/config/put', platformstandin.make_config(2, keys=('k2',))
         )
         changed_at = time.monotonic()
         for host in deployment.entries:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -406,6 +406,7 @@
     pattern = re.compile(
         '|'.join(re.escape(name) for name in names), re.IGNORECASE
     )
-    for source in pathlib.Path('packages').rglob('*.py'):
-        found = pattern.search(source.read_text())
-        assert found is None, f'{source}: {found.group()}'
+    for folder in ('packages', 'soak', 'bench', 'demo'):
+        for source in pathlib.Path(folder).rglob('*.py'):
+            found = pattern.search(source.read_text())
+            assert found is None, f'{source}: {found.group()}'
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,7 @@
 from soak import proxies
 from soak import record
 from soak import schedule
+from tests import platformstandin
 
 SHAPE = deployment.make_shape(controls=3, entries=3)
 
@@ -207,7 +208,9 @@
 
 def make_order(members, *, group='g1', epoch=3):
     """Return an order to join."""
-    return {'group': group, 'epoch': epoch, 'member-nodes': members}
+    return platformstandin.Order(
+        kind='join', group_id=group, epoch=epoch, member_ids=tuple(members)
+    )
 
 
 def test_a_group_may_serve_once_every_member_was_ready(seen):
@@ -235,10 +238,12 @@
     held = make_order(['vm-1', 'vm-2', 'vm-3'])
     other = make_order(['vm-2', 'vm-4', 'vm-5'], group='g2', epoch=4)
     head.is_up = True
-    head.group = {'name': 'g1', 'epoch': 3, 'state': 'ready'}
+    head.place = platformstandin.Place(
+        group_id='g1', epoch=3, rank=0, state='ready'
+    )
     world.note_join('vm-2', held, other)
     assert broken(seen, plan) == set()
-    head.group['state'] = 'open'
+    head.place.state = 'open'
     world.note_join('vm-2', held, other)
     assert broken(seen, plan) == {'whole groups'}
 
