--- a/tests/platformstandin.py
+++ b/tests/platformstandin.py
@@ -489,6 +489,17 @@
             ) as answer:
                 return answer.status, answer.headers, await answer.read()
 
+    async def ask_stream(self, host, attempt_id, **headers):
+        """Send a client's request for a stream of the model."""
+        return await self.ask(
+            host,
+            '/lots/1',
+            Attempt_Id=attempt_id,
+            Model='m0',
+            Token_Usage='10,80',
+            **headers,
+        )
+
     async def wait_until(self, check, *, within_s=30.0):
         """Wait until an asynchronous check holds."""
         deadline = time.monotonic() + within_s
--- a/tests/test_fleet_system.py
+++ b/tests/test_fleet_system.py
@@ -54,9 +54,7 @@
     """Whether an entry answers calls and streams."""
     try:
         call, _, _ = await deployment.ask(host, '/reads/1', Attempt_Id='try')
-        stream, _, _ = await deployment.ask(
-            host, '/lots/1', Attempt_Id='try', Model='m0', Token_Usage='10,80'
-        )
+        stream, _, _ = await deployment.ask_stream(host, 'try')
     except (aiohttp.ClientError, OSError):
         return False
     return (call, stream) == (200, 200)
@@ -71,9 +69,7 @@
         assert status == 200
         assert headers['Response-Seal'] == 'seal-b-7'
         assert text.split()[1] == b'b-7'
-        status, headers, text = await deployment.ask(
-            host, '/lots/1', Attempt_Id='s-1', Model='m0', Token_Usage='10,80'
-        )
+        status, headers, text = await deployment.ask_stream(host, 's-1')
         assert headers['Response-Seal'] == 'seal-s-1'
         assert text.count(b'data: piece') == 12
         unknown, _, _ = await deployment.ask(host, '/x/', Attempt_Id='n')
@@ -100,12 +96,9 @@
         for worker in deployment.workers:
             worker.events = 60
         asking = asyncio.create_task(
-            deployment.ask(
+            deployment.ask_stream(
                 deployment.entries[0],
-                '/lots/1',
-                Attempt_Id='s-2',
-                Model='m0',
-                Token_Usage='10,80',
+                's-2',
                 Deadline_Ms='8000',
             )
         )
@@ -207,12 +200,9 @@
             worker.events = 60
         asking = [
             asyncio.create_task(
-                deployment.ask(
+                deployment.ask_stream(
                     host,
-                    '/lots/1',
-                    Attempt_Id=f'd-{number}',
-                    Model='m0',
-                    Token_Usage='10,80',
+                    f'd-{number}',
                 )
             )
             for number in range(6)
@@ -248,12 +238,9 @@
         for worker in deployment.workers:
             worker.events = 120
         asking = asyncio.create_task(
-            deployment.ask(
+            deployment.ask_stream(
                 host,
-                '/lots/1',
-                Attempt_Id='k-2',
-                Model='m0',
-                Token_Usage='10,80',
+                'k-2',
             )
         )
         await asyncio.sleep(0.1)
@@ -272,12 +259,9 @@
         for worker in deployment.workers:
             worker.events = 500
         asking = asyncio.create_task(
-            deployment.ask(
+            deployment.ask_stream(
                 deployment.entries[0],
-                '/lots/1',
-                Attempt_Id='g-1',
-                Model='m0',
-                Token_Usage='10,80',
+                'g-1',
             )
         )
         await asyncio.sleep(0.4)
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -16,7 +16,7 @@
 from apricotthread.gateway import loads
 from apricotthread.gateway import placement
 from apricotthread.gateway import routes
-from tests import test_formation
+from tests import formationworld
 
 
 def make_event(number):
@@ -98,8 +98,8 @@
     """Place a request of usual size."""
     return placement.place_on_engine(
         candidates,
-        engine=test_formation.PROFILE,
-        model=test_formation.LARGE,
+        engine=formationworld.PROFILE,
+        model=formationworld.LARGE,
         prompt_tokens=1460,
         output_tokens=174,
         time_left_s=time_left_s,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -18,7 +18,7 @@
 from apricotthread.platform import configs
 from apricotthread.platform import instances
 from apricotthread.platform import orders
-from tests import test_formation
+from tests import formationworld
 
 CONFIG = {
     'version': 7,
@@ -235,7 +235,7 @@
 
 
 def test_orders_carry_group_epoch_and_fence():
-    world = test_formation.World()
+    world = formationworld.World()
     world.add('a1', 9)
     world.settle()
     group = world.group_of('large')
