--- a/packages/gateway/src/apricotthread/gateway/forwarder.py
+++ b/packages/gateway/src/apricotthread/gateway/forwarder.py
@@ -78,6 +78,9 @@
     attempts: int = 0
     may_have_run: bool = False
     tried_endpoint_ids: set[str] = dataclasses.field(default_factory=set)
+    last_endpoint_id: str = ''
+    # How long the last endpoint had been sending events, in seconds.
+    answered_for_s: float | None = None
     # Where the request goes on once its present attempt is given up. It is
     # counted there already.
     reserved: placement.Choice | None = None
@@ -338,7 +341,10 @@
             why_not = ''
         request_trace.add(
             'attempt_failed',
+            endpoint=state.last_endpoint_id,
             reason=failure.reason,
+            shared_parts=','.join(request.caller.shared_parts),
+            answered_for_ms=placement.milliseconds(state.answered_for_s or 0),
             not_run=failure.not_run,
             attempts=state.attempts,
             again=not why_not,
@@ -712,7 +718,10 @@
         )
         async with context as connection:
             attempt = self._make_attempt(request, state, choice, connection)
-            with self._watch_attempt(request, request_trace, attempt):
+            with (
+                self._note_answered_time(state, attempt),
+                self._watch_attempt(request, request_trace, attempt),
+            ):
                 answer = await connection.read_head()
                 context.note_begun()
                 self._check_answer(request, replica, answer)
@@ -752,9 +761,22 @@
             )
         await sink.end()
 
+    @contextlib.contextmanager
+    def _note_answered_time(
+        self, state: _AttemptState, attempt: stallwatch.Attempt
+    ) -> collections.abc.Iterator[None]:
+        """Record for how long the endpoint has sent events."""
+        try:
+            yield
+        finally:
+            if attempt.begun_at is not None:
+                state.answered_for_s = self._env.timer.now() - attempt.begun_at
+
     def _note_progress(self, attempt: stallwatch.Attempt) -> None:
         """Record that an attempt has just brought a whole event."""
         now = self._env.timer.now()
+        if attempt.begun_at is None:
+            attempt.begun_at = now
         self._loads.note_byte(attempt.replica.endpoint_id)
         if attempt.replica.group_id and attempt.progressed_at is not None:
             self._group_monitor.note_progress(
@@ -794,6 +816,8 @@
         request = self._request
         replica = self._replica
         self._state.tried_endpoint_ids.add(replica.endpoint_id)
+        self._state.last_endpoint_id = replica.endpoint_id
+        self._state.answered_for_s = None
         if not self._state.is_counted:
             forwarder._loads.start(replica.endpoint_id)
         self._state.is_counted = False
--- a/packages/gateway/src/apricotthread/gateway/requests.py
+++ b/packages/gateway/src/apricotthread/gateway/requests.py
@@ -17,7 +17,8 @@
     `target` is the path with the query, as sent. `key` is the API key.
     `time_left_s` is None if the caller sets no limit. `last_event_id` is
     0 unless the caller resumes a stream after that event. `output_tokens`
-    is the most tokens that the answer may have.
+    is the most tokens that the answer may have. `shared_parts` are the ids
+    of the parts of the prompt that other requests may have as well, in order.
     """
 
     request_id: str
@@ -32,6 +33,7 @@
     model: str
     prompt_tokens: int
     output_tokens: int
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/gateway/src/apricotthread/gateway/stallwatch.py
+++ b/packages/gateway/src/apricotthread/gateway/stallwatch.py
@@ -65,6 +65,8 @@
     patience_s: float
     reserve_retry: collections.abc.Callable[[], bool]
     answer_within_s: float | None = None
+    # The time of the first complete event.
+    begun_at: float | None = None
     progressed_at: float | None = None
     # While the caller does not read, the endpoint may be unable to send.
     is_caller_slow: bool = False
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -414,3 +414,25 @@
         for source in pathlib.Path(folder).rglob('*.py'):
             found = pattern.search(source.read_text())
             assert found is None, f'{source}: {found.group()}'
+
+
+@pytest.mark.parametrize(
+    ('text', 'parts'),
+    [
+        ('', ()),
+        ('5c:800', ()),
+        ('5c:800,91:410,e4:250', ('5c', '91')),
+        (' 5c:800 , 91:410,e4:250', ('5c', '91')),
+        ('5c:800,5c:800,e4:250', ('5c',)),
+        (',:7,' + 'f' * 65 + ':1,5c,e4:250', ('5c',)),
+        (','.join(f'{n:x}:1' for n in range(40)), None),
+    ],
+)
+def test_shared_parts_of_a_prompt_leave_out_its_own_part(text, parts):
+    """The last part belongs to the request; bad entries are left out."""
+    caller = callers.PlatformDialect().parse_request(
+        'POST', b'/lots/1', [(b'prompt-prefix', text.encode())]
+    )
+    if parts is None:
+        parts = tuple(f'{n:x}' for n in range(callers.MAX_SHARED_PARTS))
+    assert caller.shared_parts == parts
