--- /dev/null
+++ b/tests/test_crashing_prompts.py
@@ -0,0 +1,158 @@
+"""Real nodes while a part of prompts crashes the engines that answer it."""
+
+import asyncio
+import time
+
+import aiohttp
+import pytest
+
+from tests import crashingworker
+from tests import platformstandin
+
+CONTACT_S = 3.0  # as the users' deployments have it
+GRACE_CRASHES = 5
+LATE_ARRIVALS = 3
+VMS = 10
+PERIOD_S = 0.08
+
+
+class Site:
+    """A deployment whose model groups are single VMs that can crash."""
+
+    def __init__(self, *, deployment):
+        self.deployment = deployment
+        self.vms = []
+        self.status_by_attempt = {}
+        self.body_by_attempt = {}
+        self._tasks = set()
+
+    async def start(self):
+        """Start the nodes and workers, and wait until all groups serve."""
+        await self.deployment.start()
+        await self.deployment.call_control(
+            platformstandin.PUT_TABLE_PATH,
+            platformstandin.make_config(1, group_size=1),
+        )
+        for number in range(VMS):
+            vm = crashingworker.CrashingWorker(
+                controls=self.deployment.controls,
+                name=f'vm-{number}',
+                service='models',
+                domain='d1',
+            )
+            await vm.start()
+            self.vms.append(vm)
+            self.deployment.workers.append(vm)
+        for host in self.deployment.entries:
+            await self.deployment.wait_until(
+                lambda host=host: self._serves(host)
+            )
+
+    async def _serves(self, host):
+        if any(
+            vm.place is None or vm.place.state != 'open' for vm in self.vms
+        ):
+            return False
+        try:
+            status, _, _ = await self.deployment.request_stream(host, 'try')
+        except OSError:
+            return False
+        return status == 200
+
+    def send(self, attempt, parts, *, host=None):
+        """Send a request whose prompt has these parts and one of its own."""
+        entries = self.deployment.entries
+        host = host or entries[len(self.status_by_attempt) % len(entries)]
+        self.status_by_attempt[attempt] = 0
+        task = asyncio.create_task(self._send(host, attempt, parts))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _send(self, host, attempt, parts):
+        prefix = ','.join(f'{part}:100' for part in (*parts, attempt))
+        try:
+            status, _, body = await self.deployment.request_stream(
+                host, attempt, Prompt_Prefix=prefix
+            )
+        except (aiohttp.ClientError, OSError):
+            status, body = -1, b''
+        self.status_by_attempt[attempt] = status
+        self.body_by_attempt[attempt] = body
+
+    async def finish(self):
+        """Wait for the answers to all requests."""
+        while self._tasks:
+            await asyncio.wait(set(self._tasks))
+
+    @property
+    def crashes(self):
+        """The moments of all crashes for the bad part, in order."""
+        return sorted(at for vm in self.vms for at in vm.crashes)
+
+    def arrivals(self, part, *, after=0.0):
+        """Return how many requests with a part reached VMs after a moment."""
+        return sum(at > after for vm in self.vms for at in vm.arrivals[part])
+
+    def served_share(self, prefix):
+        """Return the share of the attempts with a prefix that succeeded."""
+        statuses = [
+            status
+            for attempt, status in self.status_by_attempt.items()
+            if attempt.startswith(prefix)
+        ]
+        return statuses.count(200) / len(statuses)
+
+
+@pytest.fixture
+def run_site(children, tmp_path):
+    """Return a function that runs a scenario on a site that serves."""
+
+    def run(scenario):
+        async def main():
+            deployment = platformstandin.Deployment(
+                children=children, folder=tmp_path
+            )
+            try:
+                site = Site(deployment=deployment)
+                await site.start()
+                await scenario(site)
+            finally:
+                await deployment.close()
+
+        asyncio.run(main())
+
+    return run
+
+
+async def play(site, *, seconds, guilty_every=3, name=''):
+    """Send sound requests, and guilty ones that share their first part."""
+    deadline = time.monotonic() + seconds
+    number = 0
+    while time.monotonic() < deadline:
+        number += 1
+        if number % guilty_every == 0:
+            site.send(f'{name}guilty-{number}', ('all', 'bad'))
+        else:
+            site.send(f'{name}sound-{number}', ('all', f'topic-{number % 4}'))
+        await asyncio.sleep(PERIOD_S)
+
+
+def check_guilty_are_kept_away(site):
+    """Check that few guilty requests reach VMs after the fifth crash."""
+    crashes = site.crashes
+    fifth_at = (crashes + [time.monotonic()] * GRACE_CRASHES)[
+        GRACE_CRASHES - 1
+    ]
+    late = site.arrivals('bad', after=fifth_at + CONTACT_S)
+    assert late <= LATE_ARRIVALS, f'{late} late, {len(crashes)} crashes'
+
+
+def test_requests_that_crash_engines_do_not_go_on_to_the_next_ones(run_site):
+    async def scenario(site):
+        await play(site, seconds=7.0)
+        await play(site, seconds=4.0, name='late-')
+        await site.finish()
+        check_guilty_are_kept_away(site)
+        assert site.served_share('late-sound') > 0.9
+
+    run_site(scenario)
