Split attempts and selection of endpoints from the forwarder

The attempts at endpoints and the selection of a replica have modules of their own now; nothing else changes.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -91,7 +91,7 @@
     ),
     Ablation(
         name='no-slowness-factor',
-        module='gateway/forwarder.py',
+        module='gateway/selection.py',
         code='slowness=self._group_monitor.slowness(replica),',
         instead='slowness=1.0,',
     ),
@@ -141,7 +141,7 @@
     ),
     Ablation(
         name='no-cold-allowance',
-        module='gateway/forwarder.py',
+        module='gateway/selection.py',
         code='and self._fleet.cold_for_s(replica.endpoint_id) > 0',
         instead='and False',
     ),
--- /dev/null
+++ b/packages/gateway/src/apricotthread/gateway/attempts.py
@@ -0,0 +1,156 @@
+"""Attempts at endpoints: their connections, their load, how they fail."""
+
+import dataclasses
+
+from apricotthread.base import environment
+from apricotthread.control import routetables
+from apricotthread.endpoints import connections
+from apricotthread.fleet import view
+from apricotthread.gateway import groupmonitor
+from apricotthread.gateway import loads
+from apricotthread.gateway import placement
+from apricotthread.gateway import requests
+
+
+@dataclasses.dataclass(kw_only=True)
+class AttemptFailure(Exception):
+    """An attempt that gave no complete, valid answer.
+
+    `not_run` says that the endpoint certainly did not run the request.
+    """
+
+    reason: str
+    not_run: bool = False
+    # A whole answer, sealed by the endpoint, that may be passed on as it is.
+    answer: connections.Answer | None = None
+    body: bytes = b''
+    # The endpoint has ended or was cut off, so the attempt does not count.
+    is_endpoint_lost: bool = False
+
+
+@dataclasses.dataclass(kw_only=True)
+class AttemptState:
+    """The attempts at one request so far."""
+
+    attempts: int = 0
+    may_have_run: bool = False
+    tried_endpoint_ids: set[str] = dataclasses.field(default_factory=set)
+    last_endpoint_id: str = ''
+    # How long the last endpoint had been sending events, in seconds.
+    answered_for_s: float | None = None
+    # Where the request goes on once its present attempt is given up. It is
+    # counted there already.
+    reserved: placement.Choice | None = None
+    is_counted: bool = False
+    # The endpoint that was given up for the reserved one.
+    given_up: placement.Choice | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EndpointAccess:
+    """What attempts need to reach endpoints and to record what they did."""
+
+    env: environment.Environment
+    fleet: view.FleetView
+    pool: connections.ConnectionPool
+    dialect: requests.Dialect
+    loads: loads.LoadTable
+    group_monitor: groupmonitor.GroupMonitor
+
+    def note_failure(self, replica: view.Replica) -> None:
+        """Count a failure, which may eject the endpoint."""
+        if self.loads.note_failure(replica.endpoint_id):
+            self.env.metrics.count('endpoints_ejected')
+
+
+class AttemptContext:
+    """Context of one attempt: holds its connection and counts its load.
+
+    Turns a lost connection into AttemptFailure.
+    """
+
+    def __init__(
+        self,
+        endpoints: EndpointAccess,
+        request: requests.RoutedRequest,
+        state: AttemptState,
+        choice: placement.Choice,
+        *,
+        last_event_id: int = 0,
+    ) -> None:
+        self._endpoints = endpoints
+        self._request = request
+        self._state = state
+        self._replica = choice.candidate.replica
+        self._last_event_id = last_event_id
+        self._urgency = (
+            placement.Urgency.RESUMED if last_event_id else choice.urgency
+        )
+        self._is_deferred = False
+        self._connection: connections.EndpointConnection | None = None
+
+    async def __aenter__(self) -> connections.EndpointConnection:
+        endpoints = self._endpoints
+        request = self._request
+        replica = self._replica
+        self._state.tried_endpoint_ids.add(replica.endpoint_id)
+        self._state.last_endpoint_id = replica.endpoint_id
+        self._state.answered_for_s = None
+        if not self._state.is_counted:
+            endpoints.loads.start(replica.endpoint_id)
+        self._state.is_counted = False
+        if self._urgency is placement.Urgency.DEFERRED:
+            self._is_deferred = True
+            endpoints.loads.get_load(replica.endpoint_id).deferred += 1
+        try:
+            connection = await endpoints.pool.acquire(
+                replica.address,
+                must_be_fresh=request.route.repeat is routetables.Repeat.NEVER,
+            )
+            request_bytes = endpoints.dialect.build_request(
+                request,
+                address=replica.address,
+                endpoint_id=replica.endpoint_id,
+                time_left_s=request.deadline - endpoints.env.timer.now(),
+                last_event_id=self._last_event_id,
+                urgency=self._urgency,
+            )
+            connection.start(request_bytes)
+        except connections.ConnectionLost as error:
+            self.note_begun()
+            endpoints.loads.end(replica.endpoint_id)
+            endpoints.note_failure(replica)
+            if replica.group_id:
+                endpoints.group_monitor.note_stall(replica)
+            # Nothing was sent, so the attempt is not counted.
+            raise AttemptFailure(reason=error.reason, not_run=True) from error
+        except BaseException:
+            self.note_begun()
+            endpoints.loads.end(replica.endpoint_id)
+            raise
+        self._connection = connection
+        self._state.attempts += 1
+        return connection
+
+    def note_begun(self) -> None:
+        """Stop counting the request as deferred, as its answer has begun."""
+        if self._is_deferred:
+            self._is_deferred = False
+            self._endpoints.loads.get_load(
+                self._replica.endpoint_id
+            ).deferred -= 1
+
+    async def __aexit__(self, kind, error, traceback) -> None:
+        endpoints = self._endpoints
+        self.note_begun()
+        endpoints.loads.end(self._replica.endpoint_id)
+        endpoints.pool.release(self._connection)
+        match error:
+            case connections.ConnectionLost(reason=reason):
+                endpoints.note_failure(self._replica)
+                raise AttemptFailure(
+                    reason=reason,
+                    is_endpoint_lost=endpoints.fleet.has_ended(
+                        self._replica.endpoint_id
+                    ),
+                ) from error
--- a/packages/gateway/src/apricotthread/gateway/forwarder.py
+++ b/packages/gateway/src/apricotthread/gateway/forwarder.py
@@ -2,15 +2,14 @@
 
 import collections.abc
 import contextlib
-import dataclasses
 import typing
-import zlib
 
 from apricotthread.base import environment
 from apricotthread.base import errors
 from apricotthread.control import routetables
 from apricotthread.endpoints import connections
 from apricotthread.fleet import view
+from apricotthread.gateway import attempts
 from apricotthread.gateway import budgets
 from apricotthread.gateway import events
 from apricotthread.gateway import groupmonitor
@@ -18,6 +17,7 @@
 from apricotthread.gateway import placement
 from apricotthread.gateway import requests
 from apricotthread.gateway import requesttrace
+from apricotthread.gateway import selection
 from apricotthread.gateway import stallwatch
 
 # An answer up to this size is read completely before any of it is passed on,
@@ -55,40 +55,6 @@
     """An answer that was begun can not be completed."""
 
 
-@dataclasses.dataclass(kw_only=True)
-class _AttemptFailure(Exception):
-    """An attempt that gave no complete, valid answer.
-
-    `not_run` says that the endpoint certainly did not run the request.
-    """
-
-    reason: str
-    not_run: bool = False
-    # A whole answer, sealed by the endpoint, that may be passed on as it is.
-    answer: connections.Answer | None = None
-    body: bytes = b''
-    # The endpoint has ended or was cut off, so the attempt does not count.
-    is_endpoint_lost: bool = False
-
-
-@dataclasses.dataclass(kw_only=True)
-class _AttemptState:
-    """The attempts at one request so far."""
-
-    attempts: int = 0
-    may_have_run: bool = False
-    tried_endpoint_ids: set[str] = dataclasses.field(default_factory=set)
-    last_endpoint_id: str = ''
-    # How long the last endpoint had been sending events, in seconds.
-    answered_for_s: float | None = None
-    # Where the request goes on once its present attempt is given up. It is
-    # counted there already.
-    reserved: placement.Choice | None = None
-    is_counted: bool = False
-    # The endpoint that was given up for the reserved one.
-    given_up: placement.Choice | None = None
-
-
 class Forwarder:
     """Forwards requests; retries and resumes them where that is allowed."""
 
@@ -108,15 +74,27 @@
     ) -> None:
         self._env = env
         self._fleet = fleet
-        self._pool = pool
         self._dialect = dialect
         self._loads = load_table
         self._budget = budget
         self._watch = stall_watch
         self._group_monitor = observations
-        self._own_data_centre = own_data_centre
-        self._cold_overshoot = cold_overshoot
-        self._salt = env.new_id()
+        self._selector = selection.ReplicaSelector(
+            env=env,
+            fleet=fleet,
+            load_table=load_table,
+            observations=observations,
+            own_data_centre=own_data_centre,
+            cold_overshoot=cold_overshoot,
+        )
+        self._endpoints = attempts.EndpointAccess(
+            env=env,
+            fleet=fleet,
+            pool=pool,
+            dialect=dialect,
+            loads=load_table,
+            group_monitor=observations,
+        )
 
     async def forward(
         self,
@@ -133,7 +111,7 @@
         """
         self._budget.note_request(request.service.name)
         self._group_monitor.has_callers = True
-        state = _AttemptState()
+        state = attempts.AttemptState()
         remaining_s = request.deadline - self._env.timer.now()
         try:
             async with self._env.timer.timeout(remaining_s):
@@ -157,107 +135,12 @@
             if state.reserved is not None:
                 self._loads.end(state.reserved.candidate.replica.endpoint_id)
 
-    # Choosing a replica
-
-    def _place(
-        self,
-        request: requests.RoutedRequest,
-        state: _AttemptState,
-        *,
-        leave_out_suspects: bool = False,
-    ) -> placement.Choice | placement.Refusal:
-        model_name = request.caller.model if request.service.engine else ''
-        replicas = [
-            replica
-            for replica in self._fleet.replicas(request.service.name)
-            if replica.model == model_name
-        ]
-        deferred_share = self._loads.estimate_deferred_share(
-            replica.endpoint_id for replica in replicas
-        )
-        candidates = [
-            self._make_candidate(request, replica, deferred_share)
-            for replica in replicas
-            if replica.endpoint_id not in state.tried_endpoint_ids
-        ]
-        if leave_out_suspects:
-            candidates = [c for c in candidates if not c.is_suspect]
-        time_left_s = request.deadline - self._env.timer.now()
-        engine = request.service.engine
-        if engine is None:
-            return placement.place_on_worker(
-                candidates, time_left_s=time_left_s
-            )
-        model = next(
-            (m for m in engine.models if m.name == request.caller.model), None
-        )
-        if model is None:
-            return placement.Refusal(
-                reason=f'no model {request.caller.model!r}', retry_after_s=1.0
-            )
-        return placement.place_on_engine(
-            candidates,
-            engine=engine,
-            model=model,
-            prompt_tokens=request.caller.prompt_tokens,
-            output_tokens=request.caller.output_tokens,
-            time_left_s=time_left_s,
-            target_s=request.route.target_s,
-            patience_s=request.route.patience_s,
-            can_be_on_time=request.can_be_on_time,
-            draw=self._env.random.random(),
-        )
-
-    def _make_candidate(
-        self,
-        request: requests.RoutedRequest,
-        replica: view.Replica,
-        deferred_share: float,
-    ) -> placement.Candidate:
-        cold_allowance = 1
-        if (
-            request.service.cold_requests_per_s > 0
-            and self._fleet.cold_for_s(replica.endpoint_id) > 0
-        ):
-            cold_allowance = budgets.cold_allowance(
-                requests_per_s=request.service.cold_requests_per_s,
-                overshoot=self._cold_overshoot,
-                entries=self._fleet.entry_count,
-                sent=self._loads.sent_within_cold_window(replica.endpoint_id),
-                draw=self._draw(replica.endpoint_id),
-            )
-        load = self._loads.estimate(replica.endpoint_id, model=replica.model)
-        return placement.Candidate(
-            replica=replica,
-            load=load,
-            deferred_load=deferred_share * load,
-            is_near=replica.data_centre == self._own_data_centre,
-            cold_allowance=cold_allowance,
-            is_suspect=self._loads.is_ejected(replica.endpoint_id)
-            or self._group_monitor.is_stalled(replica)
-            or self._is_silent(replica),
-            slowness=self._group_monitor.slowness(replica),
-        )
-
-    def _draw(self, endpoint_id: str) -> float:
-        """Return a uniform pseudo-random number from 0 to 1.
-
-        It changes each second and differs by endpoint and entry.
-        """
-        second = int(self._env.timer.now() / loads.COLD_WINDOW_S)
-        text = f'{self._salt} {endpoint_id} {second}'.encode()
-        return zlib.crc32(text) / (1 << 32)
-
-    def _is_silent(self, replica: view.Replica) -> bool:
-        """Whether neither control nodes nor this entry hear from a replica."""
-        return not self._fleet.is_available(replica.endpoint_id) and (
-            not self._group_monitor.is_progressing(replica)
-        )
+    # Attempts
 
     def _choose(
         self,
         request: requests.RoutedRequest,
-        state: _AttemptState,
+        state: attempts.AttemptState,
         request_trace: requesttrace.RequestTrace,
     ) -> placement.Choice:
         """Return the choice for the next attempt.
@@ -265,7 +148,9 @@
         Raises ApricotError if no replica can take it.
         """
         state.is_counted = state.reserved is not None
-        placed = state.reserved or self._place(request, state)
+        placed = state.reserved or self._selector.place(
+            request, state.tried_endpoint_ids
+        )
         state.reserved = None
         match placed:
             case placement.Refusal(reason=reason, retry_after_s=retry_s):
@@ -296,7 +181,7 @@
     def _make_placement_error(
         self,
         request: requests.RoutedRequest,
-        state: _AttemptState,
+        state: attempts.AttemptState,
         reason: str,
         retry_after_s: float,
     ) -> errors.ApricotError:
@@ -318,8 +203,8 @@
     def _may_retry(
         self,
         request: requests.RoutedRequest,
-        state: _AttemptState,
-        failure: _AttemptFailure,
+        state: attempts.AttemptState,
+        failure: attempts.AttemptFailure,
         request_trace: requesttrace.RequestTrace,
     ) -> bool:
         """Whether a failed attempt may be retried at another endpoint.
@@ -331,7 +216,7 @@
         why_not = ''
         if state.reserved is None:
             why_not = self._find_why_not_retry(
-                request, not_run=failure.not_run, attempts=state.attempts
+                request, not_run=failure.not_run, attempt_count=state.attempts
             ) or self._take_retry(request)
         if (
             why_not
@@ -357,13 +242,13 @@
         request: requests.RoutedRequest,
         *,
         not_run: bool,
-        attempts: int,
+        attempt_count: int,
     ) -> str:
         """Return why a request may not be retried, empty if it may."""
         time_left_s = request.deadline - self._env.timer.now()
         if not not_run and (request.route.repeat is routetables.Repeat.NEVER):
             return 'the request may have run'
-        if attempts >= request.route.max_attempts:
+        if attempt_count >= request.route.max_attempts:
             return 'no attempt is left'
         if time_left_s < MIN_TIME_LEFT_S:
             return 'no time is left'
@@ -380,7 +265,7 @@
     def _reserve_retry(
         self,
         request: requests.RoutedRequest,
-        state: _AttemptState,
+        state: attempts.AttemptState,
         choice: placement.Choice,
     ) -> bool:
         """Reserve an endpoint for a request whose present one is silent.
@@ -389,10 +274,14 @@
         works.
         """
         endpoint_id = choice.candidate.replica.endpoint_id
-        attempts = state.attempts - self._fleet.has_ended(endpoint_id)
-        if self._find_why_not_retry(request, not_run=False, attempts=attempts):
+        attempt_count = state.attempts - self._fleet.has_ended(endpoint_id)
+        if self._find_why_not_retry(
+            request, not_run=False, attempt_count=attempt_count
+        ):
             return False
-        placed = self._place(request, state, leave_out_suspects=True)
+        placed = self._selector.place(
+            request, state.tried_endpoint_ids, leave_out_suspects=True
+        )
         if isinstance(placed, placement.Refusal):
             return False
         candidate = placed.candidate
@@ -405,12 +294,14 @@
         state.given_up = choice
         return True
 
-    def _reserve(self, state: _AttemptState, choice: placement.Choice) -> None:
+    def _reserve(
+        self, state: attempts.AttemptState, choice: placement.Choice
+    ) -> None:
         self._loads.start(choice.candidate.replica.endpoint_id)
         state.reserved = choice
 
     def _return_to_given_up(
-        self, request: requests.RoutedRequest, state: _AttemptState
+        self, request: requests.RoutedRequest, state: attempts.AttemptState
     ) -> bool:
         """Reserve the endpoint that was given up for one that then refused.
 
@@ -434,7 +325,7 @@
         request: requests.RoutedRequest,
         sink: Sink,
         request_trace: requesttrace.RequestTrace,
-        state: _AttemptState,
+        state: attempts.AttemptState,
     ) -> None:
         while True:
             choice = self._choose(request, state, request_trace)
@@ -443,7 +334,7 @@
                     request, sink, request_trace, state, choice
                 )
                 return
-            except _AttemptFailure as failure:
+            except attempts.AttemptFailure as failure:
                 state.may_have_run |= not failure.not_run
                 if self._may_retry(request, state, failure, request_trace):
                     continue
@@ -459,8 +350,8 @@
     def _make_attempt_error(
         self,
         request: requests.RoutedRequest,
-        state: _AttemptState,
-        failure: _AttemptFailure,
+        state: attempts.AttemptState,
+        failure: attempts.AttemptFailure,
     ) -> errors.ApricotError:
         if state.may_have_run:
             return errors.ApricotError(
@@ -480,15 +371,17 @@
         request: requests.RoutedRequest,
         sink: Sink,
         request_trace: requesttrace.RequestTrace,
-        state: _AttemptState,
+        state: attempts.AttemptState,
         choice: placement.Choice,
     ) -> None:
         """Send a call to one endpoint and pass its answer on.
 
-        Raises _AttemptFailure.
+        Raises AttemptFailure.
         """
         replica = choice.candidate.replica
-        async with _AttemptContext(self, request, state, choice) as connection:
+        async with attempts.AttemptContext(
+            self._endpoints, request, state, choice
+        ) as connection:
             attempt = self._make_attempt(request, state, choice, connection)
             attempt.answer_within_s = max(
                 MIN_ATTEMPT_TIMEOUT_S,
@@ -555,13 +448,13 @@
     ) -> requests.AnswerMetadata:
         """Check that an answer belongs to the request and is signed.
 
-        Updates the load of the endpoint. Raises _AttemptFailure.
+        Updates the load of the endpoint. Raises AttemptFailure.
         """
         metadata = self._dialect.parse_answer(answer)
         if metadata.request_id != request.caller.request_id:
             # Its statement that a request was not run is about another one.
-            self._note_failure(replica)
-            raise _AttemptFailure(
+            self._endpoints.note_failure(replica)
+            raise attempts.AttemptFailure(
                 reason='the answer belongs to another request'
             )
         self._loads.note_byte(replica.endpoint_id)
@@ -573,12 +466,12 @@
                 waiting=metadata.waiting,
             )
         if metadata.not_run:
-            raise _AttemptFailure(
+            raise attempts.AttemptFailure(
                 reason=f'not run, status {answer.status}', not_run=True
             )
         if 200 <= answer.status < 300 and not metadata.is_sealed:
-            self._note_failure(replica)
-            raise _AttemptFailure(
+            self._endpoints.note_failure(replica)
+            raise attempts.AttemptFailure(
                 reason='the successful answer has no signature'
             )
         return metadata
@@ -589,26 +482,22 @@
         answer: connections.Answer,
         body: bytes,
         is_whole: bool,
-    ) -> _AttemptFailure:
+    ) -> attempts.AttemptFailure:
         if answer.status >= 500:
-            self._note_failure(replica)
+            self._endpoints.note_failure(replica)
         says_not_run = answer.status in NOT_RUN_STATUSES
-        return _AttemptFailure(
+        return attempts.AttemptFailure(
             reason=f'status {answer.status}',
             answer=answer if is_whole and not says_not_run else None,
             body=body,
         )
 
-    def _note_failure(self, replica: view.Replica) -> None:
-        if self._loads.note_failure(replica.endpoint_id):
-            self._env.metrics.count('endpoints_ejected')
-
     # Stalled attempts
 
     def _make_attempt(
         self,
         request: requests.RoutedRequest,
-        state: _AttemptState,
+        state: attempts.AttemptState,
         choice: placement.Choice,
         connection: connections.EndpointConnection,
     ) -> stallwatch.Attempt:
@@ -631,8 +520,8 @@
     ) -> collections.abc.Iterator[None]:
         """Watch an attempt that may be repeated for stalls meanwhile.
 
-        Raises _AttemptFailure if it was given up for a stall, or if its
-        stream is broken.
+        Raises AttemptFailure if it was given up for a stall, or if its stream
+        is broken.
         """
         replica = attempt.replica
         if request.route.repeat is not routetables.Repeat.NEVER:
@@ -650,14 +539,14 @@
                 takes_requests=self._fleet.takes_requests(replica),
             )
             if attempt.stall is stallwatch.Stall.SLOW_ANSWER:
-                self._note_failure(replica)
-            raise _AttemptFailure(
+                self._endpoints.note_failure(replica)
+            raise attempts.AttemptFailure(
                 reason=attempt.stall.value,
                 is_endpoint_lost=self._fleet.has_ended(replica.endpoint_id),
             ) from None
         except events.BrokenStream as error:
-            self._note_failure(replica)
-            raise _AttemptFailure(reason=str(error)) from error
+            self._endpoints.note_failure(replica)
+            raise attempts.AttemptFailure(reason=str(error)) from error
         finally:
             self._watch.remove(attempt)
 
@@ -668,7 +557,7 @@
         request: requests.RoutedRequest,
         sink: Sink,
         request_trace: requesttrace.RequestTrace,
-        state: _AttemptState,
+        state: attempts.AttemptState,
     ) -> None:
         splitter = events.EventSplitter(last_id=request.caller.last_event_id)
         while True:
@@ -683,7 +572,7 @@
                     request, sink, request_trace, state, choice, splitter
                 )
                 return
-            except _AttemptFailure as failure:
+            except attempts.AttemptFailure as failure:
                 state.may_have_run |= not failure.not_run
                 if self._may_retry(request, state, failure, request_trace):
                     splitter.restart()
@@ -704,17 +593,21 @@
         request: requests.RoutedRequest,
         sink: Sink,
         request_trace: requesttrace.RequestTrace,
-        state: _AttemptState,
+        state: attempts.AttemptState,
         choice: placement.Choice,
         splitter: events.EventSplitter,
     ) -> None:
         """Pass on the events of a stream from one endpoint.
 
-        Raises _AttemptFailure.
+        Raises AttemptFailure.
         """
         replica = choice.candidate.replica
-        context = _AttemptContext(
-            self, request, state, choice, last_event_id=splitter.last_id
+        context = attempts.AttemptContext(
+            self._endpoints,
+            request,
+            state,
+            choice,
+            last_event_id=splitter.last_id,
         )
         async with context as connection:
             attempt = self._make_attempt(request, state, choice, connection)
@@ -754,7 +647,9 @@
             await sink.write(complete_events)
             attempt.is_caller_slow = False
         if not splitter.is_between_events:
-            raise _AttemptFailure(reason='the stream ends inside an event')
+            raise attempts.AttemptFailure(
+                reason='the stream ends inside an event'
+            )
         if not sink.started:
             await sink.start(
                 answer.status, self._dialect.answer_headers(answer)
@@ -763,7 +658,7 @@
 
     @contextlib.contextmanager
     def _note_answered_time(
-        self, state: _AttemptState, attempt: stallwatch.Attempt
+        self, state: attempts.AttemptState, attempt: stallwatch.Attempt
     ) -> collections.abc.Iterator[None]:
         """Record for how long the endpoint has sent events."""
         try:
@@ -783,96 +678,3 @@
                 attempt.replica, now - attempt.progressed_at
             )
         attempt.progressed_at = now
-
-
-class _AttemptContext:
-    """Context of one attempt: holds its connection and counts its load.
-
-    Turns a lost connection into _AttemptFailure.
-    """
-
-    def __init__(
-        self,
-        owner: Forwarder,
-        request: requests.RoutedRequest,
-        state: _AttemptState,
-        choice: placement.Choice,
-        *,
-        last_event_id: int = 0,
-    ) -> None:
-        self._forwarder = owner
-        self._request = request
-        self._state = state
-        self._replica = choice.candidate.replica
-        self._last_event_id = last_event_id
-        self._urgency = (
-            placement.Urgency.RESUMED if last_event_id else choice.urgency
-        )
-        self._is_deferred = False
-        self._connection: connections.EndpointConnection | None = None
-
-    async def __aenter__(self) -> connections.EndpointConnection:
-        forwarder = self._forwarder
-        request = self._request
-        replica = self._replica
-        self._state.tried_endpoint_ids.add(replica.endpoint_id)
-        self._state.last_endpoint_id = replica.endpoint_id
-        self._state.answered_for_s = None
-        if not self._state.is_counted:
-            forwarder._loads.start(replica.endpoint_id)
-        self._state.is_counted = False
-        if self._urgency is placement.Urgency.DEFERRED:
-            self._is_deferred = True
-            forwarder._loads.get_load(replica.endpoint_id).deferred += 1
-        try:
-            connection = await forwarder._pool.acquire(
-                replica.address,
-                must_be_fresh=request.route.repeat is routetables.Repeat.NEVER,
-            )
-            request_bytes = forwarder._dialect.build_request(
-                request,
-                address=replica.address,
-                endpoint_id=replica.endpoint_id,
-                time_left_s=request.deadline - forwarder._env.timer.now(),
-                last_event_id=self._last_event_id,
-                urgency=self._urgency,
-            )
-            connection.start(request_bytes)
-        except connections.ConnectionLost as error:
-            self.note_begun()
-            forwarder._loads.end(replica.endpoint_id)
-            forwarder._note_failure(replica)
-            if replica.group_id:
-                forwarder._group_monitor.note_stall(replica)
-            # Nothing was sent, so the attempt is not counted.
-            raise _AttemptFailure(reason=error.reason, not_run=True) from error
-        except BaseException:
-            self.note_begun()
-            forwarder._loads.end(replica.endpoint_id)
-            raise
-        self._connection = connection
-        self._state.attempts += 1
-        return connection
-
-    def note_begun(self) -> None:
-        """Stop counting the request as deferred, as its answer has begun."""
-        if self._is_deferred:
-            self._is_deferred = False
-            self._forwarder._loads.get_load(
-                self._replica.endpoint_id
-            ).deferred -= 1
-
-    async def __aexit__(self, kind, error, traceback) -> None:
-        forwarder = self._forwarder
-        self.note_begun()
-        forwarder._loads.end(self._replica.endpoint_id)
-        forwarder._pool.release(self._connection)
-        match error:
-            case connections.ConnectionLost(reason=reason):
-                forwarder._note_failure(self._replica)
-                raise _AttemptFailure(
-                    reason=reason,
-                    is_endpoint_lost=forwarder._fleet.has_ended(
-                        self._replica.endpoint_id
-                    ),
-                ) from error
