Take an unframed stream without an event for one that was broken off

Callers got a whole, empty answer with status 200 when an endpoint ended between the head of a stream and its first event, and the stream had neither a length nor chunks.

Cause: the end of the connection ends such an answer, and a stream of no events has no incomplete one.

Change: without an event it has failed, and is tried again where that is allowed.

--- a/packages/endpoints/src/apricotthread/endpoints/connections.py
+++ b/packages/endpoints/src/apricotthread/endpoints/connections.py
@@ -202,6 +202,11 @@
 
     # Sending requests and reading answers
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether the present answer has neither a length nor chunks."""
+        return self._ends_with_connection
+
     @property
     def is_usable(self) -> bool:
         """Whether the connection is open, as far as this node knows."""
--- a/packages/gateway/src/apricotthread/gateway/forwarder.py
+++ b/packages/gateway/src/apricotthread/gateway/forwarder.py
@@ -650,6 +650,12 @@
             raise attempts.AttemptFailure(
                 reason='the stream ends inside an event'
             )
+        if attempt.begun_at is None and (
+            attempt.connection.ends_with_connection
+        ):
+            raise attempts.AttemptFailure(
+                reason='the stream ends before its first event'
+            )
         if not sink.started:
             await sink.start(
                 answer.status, self._dialect.answer_headers(answer)
