Keep prompts that crash engines away from the next engines

Cause: a crash was blamed on the endpoint alone. The request went on to the next one, new requests with the same part followed, and no entry told another what a request had done. Ruled out: overload (the engines that ended had 0.3 to 5 of 13 requests) and retries alone (new requests crash as many).

Change: entries watch how far answers were when an endpoint ended, check that it did end (it refuses connections, or has started again) and report the shared parts of the prompts that were about to be answered, with the age of the last sound answer to each. The leader blames the part that is in three crashes at different moments without a sound answer since, and its replies bring the quarantine to every entry; the entries' own copies teach a new leader. Requests with such a part are refused at once, as not run. A quarantine ends after five minutes, then one crash renews it and one sound answer ends it. Endpoints that ended count as no attempt; now three that broke off as they began to answer end a request all the same.

Why it works: sound requests beside a crash share its caller and other parts, but get sound answers elsewhere, which clears these parts; the guilty part gets none. Crashes of racks count by the share of them that had the part.

--- a/packages/base/src/apricotthread/base/errors.py
+++ b/packages/base/src/apricotthread/base/errors.py
@@ -25,6 +25,7 @@
     ACCOUNT_LIMIT = ('account_limit', 429)
     OVERLOADED = ('overloaded', 503)
     NO_CAPACITY = ('no_capacity', 503)
+    QUARANTINED = ('prompt_quarantined', 503)
     NO_QUORUM = ('no_quorum', 503)
     NO_TABLE = ('no_table', 503)
     NOT_LEADER = ('not_leader', 503)
--- a/packages/daemon/src/apricotthread/daemon/fleetnode.py
+++ b/packages/daemon/src/apricotthread/daemon/fleetnode.py
@@ -24,12 +24,15 @@
 from apricotthread.daemon import signals
 from apricotthread.endpoints import connections as endpoint_connections
 from apricotthread.endpoints import directory
+from apricotthread.fleet import crashreports
 from apricotthread.fleet import evidence
 from apricotthread.fleet import publisher
+from apricotthread.fleet import quarantine
 from apricotthread.fleet import subscriber
 from apricotthread.fleet import view
 from apricotthread.gateway import application
 from apricotthread.gateway import budgets
+from apricotthread.gateway import exposures
 from apricotthread.gateway import forwarder
 from apricotthread.gateway import groupmonitor
 from apricotthread.gateway import loads
@@ -396,6 +399,7 @@
             on_change=self._on_change,
         )
         self.observations = evidence.EvidenceStore(env=env)
+        self.quarantine = quarantine.Quarantine(env=env)
         self.fleet_publisher = publisher.Publisher(
             env=env,
             raft=self.raft,
@@ -480,6 +484,7 @@
         leader_id = self.raft.leader_id
         link = self._link_by_id.get(leader_id)
         if link is not None and peer.node_id not in self._link_by_id:
+            self.quarantine.forget()
             reply = await link.try_call(body, timeout_s=EVIDENCE_TIMEOUT_S)
             return reply or messages.Done()
         try:
@@ -492,8 +497,12 @@
         self.observations.take(report)
         if self.raft.role is not replica.Role.LEADER:
             return messages.Done()
+        self.quarantine.take(report.entry_id, report.crash_report)
         return messages.EvidenceReply(
-            payload=self.observations.sum_in_flight()
+            payload=self.observations.sum_in_flight(),
+            quarantine=crashreports.encode_reply(
+                self.quarantine.reply_to(report.crash_report)
+            ),
         )
 
     def start(self, tasks: asyncio.TaskGroup) -> None:
@@ -516,12 +525,16 @@
         self.subscriptions = subscriber.Subscriber(env=env, fleet=self.fleet)
         dialect = callers.PlatformDialect()
         load_table = loads.LoadTable(env=env)
+        self.exposures = exposures.ExposureMonitor(
+            env=env, fleet=self.fleet, entry_id=settings.node_id
+        )
         self.observations = groupmonitor.GroupMonitor(
             env=env,
             members=node.members,
             data_centre=settings.data_centre,
             fleet=self.fleet,
             load_table=load_table,
+            exposure_monitor=self.exposures,
         )
         self.stall_watch = stallwatch.StallWatch(
             env=env,
@@ -547,6 +560,7 @@
                 ),
                 stall_watch=self.stall_watch,
                 observations=self.observations,
+                exposure_monitor=self.exposures,
                 own_data_centre=settings.data_centre,
                 cold_overshoot=known.cold_overshoot,
             ),
--- a/packages/fleet/src/apricotthread/fleet/evidence.py
+++ b/packages/fleet/src/apricotthread/fleet/evidence.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from apricotthread.base import environment
+from apricotthread.fleet import crashreports
 
 
 class GroupSight(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -33,6 +34,7 @@
     groups: tuple[GroupSight, ...] = ()
     # Number of requests by endpoint id; a group is counted at its head.
     in_flight: dict[str, int] = {}
+    crash_report: crashreports.CrashReport = crashreports.CrashReport()
 
 
 _REPORT_DECODER = msgspec.msgpack.Decoder(EntryReport)
--- a/packages/fleet/src/apricotthread/fleet/view.py
+++ b/packages/fleet/src/apricotthread/fleet/view.py
@@ -254,6 +254,19 @@
             epoch=group.epoch,
         )
 
+    def member_ids(self, replica: Replica) -> tuple[str, ...]:
+        """Return the endpoints that a replica needs, its own first."""
+        for group in self.groups:
+            if group.group_id == replica.group_id and (
+                group.epoch == replica.epoch
+            ):
+                return group.member_ids
+        return (replica.endpoint_id,)
+
+    def is_departing(self, endpoint_id: str) -> bool:
+        """Whether an endpoint has said that it leaves, or has ended."""
+        return not self._is_not_leaving(endpoint_id)
+
     def takes_requests(self, replica: Replica) -> bool:
         """Whether a replica accepts new requests."""
         table = self.table
--- a/packages/gateway/src/apricotthread/gateway/attempts.py
+++ b/packages/gateway/src/apricotthread/gateway/attempts.py
@@ -6,12 +6,17 @@
 from apricotthread.control import routetables
 from apricotthread.endpoints import connections
 from apricotthread.fleet import view
+from apricotthread.gateway import exposures
 from apricotthread.gateway import groupmonitor
 from apricotthread.gateway import loads
 from apricotthread.gateway import placement
 from apricotthread.gateway import requests
 
 
+# An endpoint that breaks off sooner did so as it began to answer.
+BEGINNING_S = 0.5
+
+
 @dataclasses.dataclass(kw_only=True)
 class AttemptFailure(Exception):
     """An attempt that gave no complete, valid answer.
@@ -26,6 +31,8 @@
     body: bytes = b''
     # The endpoint has ended or was cut off, so the attempt does not count.
     is_endpoint_lost: bool = False
+    # The answer has stalled, or ended where it could not be whole.
+    is_broken_off: bool = False
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -38,6 +45,9 @@
     last_endpoint_id: str = ''
     # How long the last endpoint had been sending events, in seconds.
     answered_for_s: float | None = None
+    exposure: exposures.Exposure | None = None
+    # How many endpoints broke off as they began to answer.
+    broken_off: int = 0
     # Where the request goes on once its present attempt is given up. It is
     # counted there already.
     reserved: placement.Choice | None = None
@@ -56,6 +66,7 @@
     dialect: requests.Dialect
     loads: loads.LoadTable
     group_monitor: groupmonitor.GroupMonitor
+    exposure_monitor: exposures.ExposureMonitor
 
     def note_failure(self, replica: view.Replica) -> None:
         """Count a failure, which may eject the endpoint."""
@@ -130,6 +141,9 @@
             raise
         self._connection = connection
         self._state.attempts += 1
+        self._state.exposure = endpoints.exposure_monitor.begin(
+            replica, request.caller.shared_parts
+        )
         return connection
 
     def note_begun(self) -> None:
@@ -146,7 +160,13 @@
         endpoints.loads.end(self._replica.endpoint_id)
         endpoints.pool.release(self._connection)
         match error:
+            case None:
+                if self._state.exposure is not None:
+                    endpoints.exposure_monitor.note_sound(self._state.exposure)
+            case AttemptFailure(is_broken_off=True):
+                self._note_broken_off()
             case connections.ConnectionLost(reason=reason):
+                self._note_broken_off()
                 endpoints.note_failure(self._replica)
                 raise AttemptFailure(
                     reason=reason,
@@ -154,3 +174,11 @@
                         self._replica.endpoint_id
                     ),
                 ) from error
+
+    def _note_broken_off(self) -> None:
+        """Count an endpoint that broke off as it began to answer."""
+        state = self._state
+        if (state.answered_for_s or 0.0) <= BEGINNING_S:
+            state.broken_off += 1
+        if state.exposure is not None:
+            self._endpoints.exposure_monitor.note_broken_off(state.exposure)
--- a/packages/gateway/src/apricotthread/gateway/forwarder.py
+++ b/packages/gateway/src/apricotthread/gateway/forwarder.py
@@ -12,6 +12,7 @@
 from apricotthread.gateway import attempts
 from apricotthread.gateway import budgets
 from apricotthread.gateway import events
+from apricotthread.gateway import exposures
 from apricotthread.gateway import groupmonitor
 from apricotthread.gateway import loads
 from apricotthread.gateway import placement
@@ -28,6 +29,9 @@
 ATTEMPT_TIMEOUT_TARGETS = 2.0
 MIN_ATTEMPT_TIMEOUT_S = 0.25
 MIN_TIME_LEFT_S = 0.02
+# Endpoints that have ended count as no attempt, so a request that is the cause
+# would meet no other limit.
+MAX_BROKEN_OFF = 3
 # Statuses that tell a caller that its request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 RETRY_AFTER_S = 0.2
@@ -69,6 +73,7 @@
         budget: budgets.RetryBudget,
         stall_watch: stallwatch.StallWatch,
         observations: groupmonitor.GroupMonitor,
+        exposure_monitor: exposures.ExposureMonitor,
         own_data_centre: str,
         cold_overshoot: float,
     ) -> None:
@@ -79,6 +84,7 @@
         self._budget = budget
         self._watch = stall_watch
         self._group_monitor = observations
+        self._exposures = exposure_monitor
         self._selector = selection.ReplicaSelector(
             env=env,
             fleet=fleet,
@@ -94,6 +100,7 @@
             dialect=dialect,
             loads=load_table,
             group_monitor=observations,
+            exposure_monitor=exposure_monitor,
         )
 
     async def forward(
@@ -111,6 +118,7 @@
         """
         self._budget.note_request(request.service.name)
         self._group_monitor.has_callers = True
+        self._exposures.note_request(request.caller.shared_parts)
         state = attempts.AttemptState()
         remaining_s = request.deadline - self._env.timer.now()
         try:
@@ -147,6 +155,7 @@
 
         Raises ApricotError if no replica can take it.
         """
+        self._check_quarantine(request, state, request_trace)
         state.is_counted = state.reserved is not None
         placed = state.reserved or self._selector.place(
             request, state.tried_endpoint_ids
@@ -178,6 +187,43 @@
                 )
         return placed
 
+    def _check_quarantine(
+        self,
+        request: requests.RoutedRequest,
+        state: attempts.AttemptState,
+        request_trace: requesttrace.RequestTrace,
+    ) -> None:
+        """Raise ApricotError if a part of the prompt is quarantined."""
+        record = self._exposures.find_kept_away(request.caller.shared_parts)
+        if record is None:
+            return
+        self._env.metrics.count('requests_quarantined')
+        request_trace.add(
+            'quarantined',
+            prompt_part=record.part,
+            crashes=record.crashes,
+            strikes=record.strikes,
+            ends_in_s=record.remaining_s,
+            revision=record.revision,
+            attempts=state.attempts,
+        )
+        message = (
+            f'the prompt part {record.part} is in quarantine, as endpoints '
+            'crashed when they began to answer with it'
+        )
+        if state.may_have_run:
+            raise errors.ApricotError(
+                code=errors.ErrorCode.ENDPOINT_FAILED,
+                message=message,
+                ran=errors.Ran.UNKNOWN,
+            )
+        raise errors.ApricotError(
+            code=errors.ErrorCode.QUARANTINED,
+            message=message,
+            ran=errors.Ran.NO,
+            retry_after_s=record.remaining_s,
+        )
+
     def _make_placement_error(
         self,
         request: requests.RoutedRequest,
@@ -216,7 +262,10 @@
         why_not = ''
         if state.reserved is None:
             why_not = self._find_why_not_retry(
-                request, not_run=failure.not_run, attempt_count=state.attempts
+                request,
+                not_run=failure.not_run,
+                attempt_count=state.attempts,
+                broken_off=state.broken_off,
             ) or self._take_retry(request)
         if (
             why_not
@@ -243,6 +292,7 @@
         *,
         not_run: bool,
         attempt_count: int,
+        broken_off: int,
     ) -> str:
         """Return why a request may not be retried, empty if it may."""
         time_left_s = request.deadline - self._env.timer.now()
@@ -250,6 +300,8 @@
             return 'the request may have run'
         if attempt_count >= request.route.max_attempts:
             return 'no attempt is left'
+        if broken_off >= MAX_BROKEN_OFF:
+            return 'too many endpoints broke off as they began to answer'
         if time_left_s < MIN_TIME_LEFT_S:
             return 'no time is left'
         return ''
@@ -273,10 +325,15 @@
         Takes the retry from the budget and returns True if there is one that
         works.
         """
+        if self._exposures.find_kept_away(request.caller.shared_parts):
+            return False
         endpoint_id = choice.candidate.replica.endpoint_id
         attempt_count = state.attempts - self._fleet.has_ended(endpoint_id)
         if self._find_why_not_retry(
-            request, not_run=False, attempt_count=attempt_count
+            request,
+            not_run=False,
+            attempt_count=attempt_count,
+            broken_off=state.broken_off,
         ):
             return False
         placed = self._selector.place(
@@ -509,6 +566,7 @@
             first_event_s=choice.first_event_s,
             patience_s=request.route.patience_s,
             reserve_retry=lambda: self._reserve_retry(request, state, choice),
+            exposure=state.exposure,
         )
 
     @contextlib.contextmanager
@@ -542,6 +600,7 @@
                 self._endpoints.note_failure(replica)
             raise attempts.AttemptFailure(
                 reason=attempt.stall.value,
+                is_broken_off=attempt.stall is not stallwatch.Stall.CALLER,
                 is_endpoint_lost=self._fleet.has_ended(replica.endpoint_id),
             ) from None
         except events.BrokenStream as error:
@@ -648,13 +707,14 @@
             attempt.is_caller_slow = False
         if not splitter.is_between_events:
             raise attempts.AttemptFailure(
-                reason='the stream ends inside an event'
+                reason='the stream ends inside an event', is_broken_off=True
             )
         if attempt.begun_at is None and (
             attempt.connection.ends_with_connection
         ):
             raise attempts.AttemptFailure(
-                reason='the stream ends before its first event'
+                reason='the stream ends before its first event',
+                is_broken_off=True,
             )
         if not sink.started:
             await sink.start(
@@ -671,7 +731,7 @@
             yield
         finally:
             if attempt.begun_at is not None:
-                state.answered_for_s = self._env.timer.now() - attempt.begun_at
+                state.answered_for_s = attempt.progressed_at - attempt.begun_at
 
     def _note_progress(self, attempt: stallwatch.Attempt) -> None:
         """Record that an attempt has just brought a whole event."""
@@ -679,6 +739,8 @@
         if attempt.begun_at is None:
             attempt.begun_at = now
         self._loads.note_byte(attempt.replica.endpoint_id)
+        if attempt.exposure is not None:
+            self._exposures.note_event(attempt.exposure)
         if attempt.replica.group_id and attempt.progressed_at is not None:
             self._group_monitor.note_progress(
                 attempt.replica, now - attempt.progressed_at
--- a/packages/gateway/src/apricotthread/gateway/groupmonitor.py
+++ b/packages/gateway/src/apricotthread/gateway/groupmonitor.py
@@ -8,14 +8,17 @@
 from apricotthread.base import environment
 from apricotthread.base import logs
 from apricotthread.endpoints import connections
+from apricotthread.fleet import crashreports
 from apricotthread.fleet import evidence
 from apricotthread.fleet import view
+from apricotthread.gateway import exposures
 from apricotthread.gateway import loads
 from apricotthread.nodes import membership
 from apricotthread.nodes import messages
 
 REPORT_PERIOD_S = 0.5
 URGENT_PERIOD_S = 0.05  # shortest time between reports, after a stall
+ALERT_REPORTS_PER_S = 200.0  # from all entries together, after crashes
 REPLY_TIMEOUT_S = 0.4  # longer than the control node waits for the leader
 MAX_OBSERVATION_AGE_S = 3.0
 HEAD_CHECK_TIMEOUT_S = 0.5  # a VM that is up accepts within milliseconds
@@ -58,9 +61,11 @@
         data_centre: str,
         fleet: view.FleetView,
         load_table: loads.LoadTable,
+        exposure_monitor: exposures.ExposureMonitor,
     ) -> None:
         self._env = env
         self._members = members
+        self._exposures = exposure_monitor
         self._data_centre = data_centre
         self._fleet = fleet
         self._loads = load_table
@@ -68,6 +73,7 @@
         self._head_check_by_address: dict[str, asyncio.Task] = {}
         self.has_callers = False
         self._urgent_report_event = asyncio.Event()
+        exposure_monitor.subscribe(self._urgent_report_event.set)
 
     def _get_observation(self, replica: view.Replica) -> _Observation:
         return self._observation_by_group.setdefault(
@@ -192,7 +198,7 @@
         """
         while True:
             try:
-                async with self._env.timer.timeout(REPORT_PERIOD_S):
+                async with self._env.timer.timeout(self._report_period_s()):
                     await self._urgent_report_event.wait()
             except TimeoutError:
                 pass  # a regular report is due
@@ -202,6 +208,18 @@
             await self._send(messages.Evidence(payload=payload))
             await self._env.timer.sleep(URGENT_PERIOD_S)
 
+    def _report_period_s(self) -> float:
+        """Return the time between reports, shorter after crashes.
+
+        The leader gets no more than ALERT_REPORTS_PER_S, unless there are
+        more entries than that allows.
+        """
+        if not self._exposures.is_alert:
+            return REPORT_PERIOD_S
+        return min(
+            REPORT_PERIOD_S, self._fleet.entry_count / ALERT_REPORTS_PER_S
+        )
+
     async def _send(self, report: messages.Evidence) -> None:
         for link in list(self._members.link_by_id.values()):
             if not link.peer.is_voter or not link.is_connected:
@@ -209,6 +227,7 @@
             reply = await link.try_call(report, timeout_s=REPLY_TIMEOUT_S)
             if isinstance(reply, messages.EvidenceReply):
                 self._apply_in_flight_sums(reply.payload)
+                self._apply_quarantine(reply.quarantine)
             if reply is not None:
                 return
         logs.log_event('report_lost')
@@ -224,6 +243,17 @@
             in_flight_by_id, self._fleet.endpoint_ids_by_model()
         )
 
+    def _apply_quarantine(self, payload: bytes) -> None:
+        """Update the quarantine; older leaders send nothing."""
+        if not payload:
+            return
+        try:
+            reply = crashreports.decode_reply(payload)
+        except msgspec.DecodeError as error:
+            logs.log_event('quarantine_broken', reason=str(error))
+            return
+        self._exposures.apply_reply(reply)
+
     def _make_report(self, now: float) -> evidence.EntryReport:
         groups = []
         for key, observation in list(self._observation_by_group.items()):
@@ -251,6 +281,7 @@
             has_callers=self.has_callers,
             groups=tuple(groups),
             in_flight=self._loads.report_in_flight(),
+            crash_report=self._exposures.make_report(),
         )
 
 
--- a/packages/gateway/src/apricotthread/gateway/stallwatch.py
+++ b/packages/gateway/src/apricotthread/gateway/stallwatch.py
@@ -7,6 +7,7 @@
 from apricotthread.base import environment
 from apricotthread.endpoints import connections
 from apricotthread.fleet import view
+from apricotthread.gateway import exposures
 from apricotthread.gateway import groupmonitor
 from apricotthread.gateway import loads
 
@@ -67,6 +68,7 @@
     answer_within_s: float | None = None
     # The time of the first complete event.
     begun_at: float | None = None
+    exposure: exposures.Exposure | None = None
     progressed_at: float | None = None
     # While the caller does not read, the endpoint may be unable to send.
     is_caller_slow: bool = False
--- a/packages/nodes/src/apricotthread/nodes/messages.py
+++ b/packages/nodes/src/apricotthread/nodes/messages.py
@@ -407,9 +407,15 @@
 
 
 class EvidenceReply(Message):
-    """The requests in flight from all entries by endpoint, in MessagePack."""
+    """The leader's answer to an entry's observations, in MessagePack.
+
+    `payload` has the requests in flight from all entries by endpoint,
+    `quarantine` the parts of prompts that are kept away; empty from a leader
+    that knows of none.
+    """
 
     payload: bytes
+    quarantine: bytes = b''
 
 
 class DocumentRequest(Message):
--- a/packages/nodes/src/apricotthread/nodes/peer.capnp
+++ b/packages/nodes/src/apricotthread/nodes/peer.capnp
@@ -324,7 +324,10 @@
 
 struct Evidence { payload @0 :Data; }
 
-struct EvidenceReply { payload @0 :Data; }
+struct EvidenceReply {
+  payload @0 :Data;
+  quarantine @1 :Data;
+}
 
 struct DocumentRequest {}
 
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -12,6 +12,7 @@
 from apricotthread.fakes import virtualclock
 from apricotthread.fleet import view
 from apricotthread.gateway import budgets
+from apricotthread.gateway import exposures
 from apricotthread.gateway import forwarder
 from apricotthread.gateway import loads
 from apricotthread.gateway import requests
@@ -166,6 +167,9 @@
             note_progress=lambda replica, gap_s: None,
             slowness=lambda replica: 1.0,
         ),
+        exposure_monitor=exposures.ExposureMonitor(
+            env=env, fleet=None, entry_id='entry'
+        ),
         own_data_centre='north',
         cold_overshoot=1.0,
     )
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -15,6 +15,7 @@
 from apricotthread.fleet import updates
 from apricotthread.fleet import view
 from apricotthread.gateway import budgets
+from apricotthread.gateway import exposures
 from apricotthread.gateway import forwarder
 from apricotthread.gateway import groupmonitor
 from apricotthread.gateway import loads
@@ -316,12 +317,16 @@
         )
         self.loads = loads.LoadTable(env=env)
         self.pool = Pool(endpoint_by_address=self.endpoint_by_address)
+        exposure_monitor = exposures.ExposureMonitor(
+            env=env, fleet=self.fleet, entry_id='entry'
+        )
         monitor = groupmonitor.GroupMonitor(
             env=env,
             members=None,
             data_centre='north',
             fleet=self.fleet,
             load_table=self.loads,
+            exposure_monitor=exposure_monitor,
         )
         # Entries look at the head of a silent group; this one is up.
         monitor._check_head = self._check_head
@@ -342,6 +347,7 @@
             ),
             stall_watch=self.watch,
             observations=monitor,
+            exposure_monitor=exposure_monitor,
             own_data_centre='north',
             cold_overshoot=1.0,
         )
