Show operators the prompts that are kept away, and let them release one

`apricotthread quarantine show` and `release PART` talk to the metrics port of any entry; a release reaches all entries with their next reports and starts the count anew. `explain` adds the crashes and the quarantine that led to a refusal.

--- a/packages/base/src/apricotthread/base/errors.py
+++ b/packages/base/src/apricotthread/base/errors.py
@@ -18,6 +18,7 @@
     UNAUTHORIZED = ('unauthorized', 401)
     UNKNOWN_SERVICE = ('unknown_service', 404)
     UNKNOWN_ROW = ('unknown_row', 404)
+    UNKNOWN_PART = ('unknown_part', 404)
     BODY_TOO_LARGE = ('body_too_large', 413)
     CONFLICT = ('conflict', 409)
     KEY_REUSED = ('idempotency_key_reused', 422)
--- a/packages/cli/src/apricotthread/cli/client.py
+++ b/packages/cli/src/apricotthread/cli/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import urllib.parse
 
 import aiohttp
 import msgspec
@@ -110,6 +111,17 @@
             'POST', f'/voters/{name}', body, bodies.OutcomeBody
         )
 
+    async def fetch_quarantine(self) -> bodies.QuarantineBody:
+        """Return the parts of prompts that have crashed endpoints."""
+        return await self._request(
+            'GET', '/quarantine', None, bodies.QuarantineBody
+        )
+
+    async def release_part(self, part: str) -> bodies.ReleaseBody:
+        """Release a part of prompts from quarantine."""
+        path = f'/quarantine/{urllib.parse.quote(part, safe="")}/release'
+        return await self._request('POST', path, None, bodies.ReleaseBody)
+
     async def wait_in_force(
         self, version: int, timeout_s: float
     ) -> InForceStatus:
--- a/packages/cli/src/apricotthread/cli/core.py
+++ b/packages/cli/src/apricotthread/cli/core.py
@@ -387,6 +387,30 @@
     return _show(context, body.groups, as_json, reports.format_groups)
 
 
+async def show_quarantine(
+    context: contexts.Context, nodes: str, as_json: bool
+) -> status.ExitStatus:
+    """Print the parts of prompts that have crashed endpoints."""
+    body = await client.OperatorClient(
+        context=context, nodes=nodes
+    ).fetch_quarantine()
+    return _show(context, body, as_json, reports.format_quarantine)
+
+
+async def release_part(
+    context: contexts.Context, nodes: str, part: str
+) -> status.ExitStatus:
+    """Release a part of prompts from quarantine, on all nodes."""
+    await client.OperatorClient(context=context, nodes=nodes).release_part(
+        part
+    )
+    context.print(
+        f'{part} is released; all entries know it within a second or two. '
+        'New crashes bring it back.'
+    )
+    return status.ExitStatus.SUCCESS
+
+
 async def show_audit(
     context: contexts.Context,
     nodes: str,
--- a/packages/cli/src/apricotthread/cli/definition.py
+++ b/packages/cli/src/apricotthread/cli/definition.py
@@ -36,6 +36,10 @@
             'status': self.show_status,
             'groups': self.show_groups,
             'audit': self.show_audit,
+            'quarantine': {
+                'show': self.quarantine_show,
+                'release': self.quarantine_release,
+            },
             'settings': {'check': self.settings_check},
             'explain': self.explain_request,
         }
@@ -280,6 +284,32 @@
             )
         )
 
+    def quarantine_show(
+        self, *, nodes: str = '', json: bool = False, debug: bool = False
+    ) -> status.ExitStatus:
+        """Print the parts of prompts that have crashed endpoints.
+
+        Example: apricotthread quarantine show --nodes 10.0.0.4:9100
+
+        :param nodes: metrics ports of entries to try in turn, IP:PORT,IP:PORT
+        :param json: print JSON for programs
+        :param debug: print tracebacks
+        """
+        return self._run(core.show_quarantine(self._context, nodes, json))
+
+    def quarantine_release(
+        self, part: str, *, nodes: str = '', debug: bool = False
+    ) -> status.ExitStatus:
+        """Let requests with a part of prompts through again, everywhere.
+
+        Example: apricotthread quarantine release 91bd3f06
+
+        :param part: the id of the part, as `quarantine show` prints it
+        :param nodes: metrics ports of entries to try in turn, IP:PORT,IP:PORT
+        :param debug: print tracebacks
+        """
+        return self._run(core.release_part(self._context, nodes, part))
+
     def show_status(
         self, *, nodes: str = '', json: bool = False, debug: bool = False
     ) -> status.ExitStatus:
--- a/packages/cli/src/apricotthread/cli/output/reports.py
+++ b/packages/cli/src/apricotthread/cli/output/reports.py
@@ -29,6 +29,25 @@
     return '\n\n'.join(part for part in parts if part)
 
 
+def format_quarantine(body: bodies.QuarantineBody) -> str:
+    """Return the parts of prompts that have crashed endpoints, as text."""
+    if not body.parts:
+        return 'No part of a prompt is in quarantine.'
+    rows = tuple(
+        (
+            part.part,
+            part.condition.replace('_', ' '),
+            f'{part.remaining_s:.0f} s',
+            str(part.crashes),
+            str(part.strikes),
+            'another part may be the cause' if part.tentative else '',
+        )
+        for part in body.parts
+    )
+    heading = ('PART', 'CONDITION', 'ENDS IN', 'CRASHES', 'TIMES', '')
+    return grids.format_grid(grids.Grid(heading=heading, rows=rows))
+
+
 def _format_data_centres(status: bodies.StatusBody) -> str:
     if status.taken_out:
         names = ', '.join(status.taken_out)
--- a/packages/cli/src/apricotthread/cli/requesttimeline.py
+++ b/packages/cli/src/apricotthread/cli/requesttimeline.py
@@ -88,8 +88,9 @@
     """Return the decisions about a request and related events, by time.
 
     The related events are those of the endpoints and groups that the
-    decisions name, and FLEET_EVENTS. The list is empty if no line is
-    about the request.
+    decisions name, and FLEET_EVENTS, and all earlier ones that led to a
+    quarantine of its prompt. The list is empty if no line is about the
+    request.
     """
     lines = list(lines)
     decisions = _find_decisions(lines, request_id)
@@ -101,6 +102,12 @@
         for key in ('endpoint', 'group')
         if (value := line.fields.get(key))
     }
+    held_parts = {
+        part
+        for line in decisions
+        if line.event == 'quarantined'
+        and (part := line.fields.get('prompt_part'))
+    }
     start_s = decisions[0].time_s - CONTEXT_BEFORE_S
     end_s = decisions[-1].time_s + CONTEXT_AFTER_S
     related_events = [
@@ -113,7 +120,29 @@
             or names & {line.fields.get('endpoint'), line.fields.get('group')}
         )
     ]
-    return sorted([*decisions, *related_events], key=lambda line: line.time_s)
+    quarantine_events = [
+        line
+        for line in lines
+        if line.time_s <= end_s
+        and line not in related_events
+        and _is_about_parts(line, held_parts)
+    ]
+    return sorted(
+        [*decisions, *related_events, *quarantine_events],
+        key=lambda line: line.time_s,
+    )
+
+
+def _is_about_parts(line: LogLine, parts: set[str]) -> bool:
+    """Whether a line tells of a crash or a quarantine for these parts."""
+    match line.event:
+        case 'endpoint_crashed':
+            return bool(
+                parts & set(line.fields.get('prompt_parts', '').split(','))
+            )
+        case str(event) if event.startswith('prompt_part_'):
+            return line.fields.get('prompt_part') in parts
+    return False
 
 
 def _find_decisions(lines: list[LogLine], request_id: str) -> list[LogLine]:
--- a/packages/daemon/src/apricotthread/daemon/fleetnode.py
+++ b/packages/daemon/src/apricotthread/daemon/fleetnode.py
@@ -6,6 +6,7 @@
 import os
 
 import msgspec
+from starlette import applications
 
 from apricotthread.base import environment
 from apricotthread.base import errors
@@ -46,6 +47,7 @@
 from apricotthread.nodes import messages
 from apricotthread.nodes import server
 from apricotthread.operators import health
+from apricotthread.operators import quarantine as quarantine_routes
 from apricotthread.platform import callers
 from apricotthread.platform import operators
 from apricotthread.platform import orders
@@ -264,21 +266,20 @@
             listener_tasks.append((listener, task))
         return listener_tasks
 
-    def _make_metrics_app(self):
-        async def answer(scope, receive, send) -> None:
-            body = self.env.metrics.render().encode()
-            await send(
-                {
-                    'type': 'http.response.start',
-                    'status': 200,
-                    'headers': [
-                        (b'content-type', health.METRICS_TYPE.encode())
-                    ],
-                }
+    def _make_metrics_app(self) -> applications.Starlette:
+        routes = [
+            health.make_metrics_route(
+                process_metrics=self.env.metrics,
+                refresh=lambda: None,
+                path='/{path:path}',
             )
-            await send({'type': 'http.response.body', 'body': body})
-
-        return answer
+        ]
+        if self.entry is not None:
+            routes = (
+                quarantine_routes.make_quarantine_routes(self.entry.exposures)
+                + routes
+            )
+        return applications.Starlette(routes=routes)
 
     def why_not_ready(self) -> str:
         """Return why this entry should get no requests, empty if it should."""
--- a/packages/fleet/src/apricotthread/fleet/quarantine.py
+++ b/packages/fleet/src/apricotthread/fleet/quarantine.py
@@ -170,10 +170,11 @@
             if record.condition is crashreports.Condition.RELEASED:
                 self._clear(record.part)
 
-    def release(self, part: str) -> bool:
+    def release(self, part: str, *, source: str) -> bool:
         """Release a part for an operator; return whether it was held.
 
-        Earlier crashes do not count against it any more.
+        Earlier crashes do not count against it any more. `source` is the
+        address that the operator's call came from.
         """
         record = self._record_by_part.get(part)
         if record is None or (
@@ -184,7 +185,7 @@
             record,
             crashreports.Condition.RELEASED,
             RELEASED_S,
-            reason='an operator released it',
+            reason=f'an operator at {source} released it',
         )
         self._clear(part)
         return True
@@ -381,7 +382,7 @@
             self._drop(self._find_least_needed())
         logs.log_event(
             f'prompt_part_{record.condition.value}',
-            part=record.part,
+            prompt_part=record.part,
             reason=reason,
             seconds=round(record.ends_at - self._env.timer.now(), 1),
             crashes=record.crashes,
@@ -402,7 +403,7 @@
 
     def _drop(self, part: str) -> None:
         del self._record_by_part[part]
-        logs.log_event('prompt_part_forgotten', part=part)
+        logs.log_event('prompt_part_forgotten', prompt_part=part)
         self._note_changed_records()
 
     def _note_changed_records(self) -> None:
--- a/packages/gateway/src/apricotthread/gateway/exposures.py
+++ b/packages/gateway/src/apricotthread/gateway/exposures.py
@@ -91,7 +91,7 @@
         self._env = env
         self._fleet = fleet
         self._entry_id = entry_id
-        self._on_crash: collections.abc.Callable[[], None] = lambda: None
+        self._on_news: collections.abc.Callable[[], None] = lambda: None
         self._suspicion_by_head: dict[tuple[str, int], _Suspicion] = {}
         self._tasks: set[asyncio.Task] = set()
         self._sound_at_by_part: collections.OrderedDict[str, float] = (
@@ -112,15 +112,26 @@
         """Whether endpoints have crashed lately."""
         return self._env.timer.now() < self._alert_until
 
-    def subscribe(self, on_crash: collections.abc.Callable[[], None]) -> None:
-        """Have a function called after each crash that was confirmed."""
-        self._on_crash = on_crash
+    def subscribe(self, on_news: collections.abc.Callable[[], None]) -> None:
+        """Have a function called when there is news for the leader."""
+        self._on_news = on_news
 
     def note_request(self, parts: tuple[str, ...]) -> None:
         """Record that a caller's request with a prompt has come."""
         if parts:
             self._recent_parts.append(parts)
 
+    def records(self) -> tuple[crashreports.PartRecord, ...]:
+        """Return the records of all parts that are known of."""
+        return self.quarantine.records()
+
+    def release(self, part: str, *, source: str) -> bool:
+        """Release a part for an operator, and tell the leader at once."""
+        is_released = self.quarantine.release(part, source=source)
+        if is_released:
+            self._on_news()
+        return is_released
+
     def find_kept_away(
         self, parts: tuple[str, ...]
     ) -> crashreports.PartRecord | None:
@@ -209,7 +220,7 @@
             task.add_done_callback(self._tasks.discard)
         suspicion.add(exposure.parts)
         if suspicion.crashed is not None:
-            self._on_crash()
+            self._on_news()
 
     # Confirmation of crashes
 
@@ -257,7 +268,7 @@
             head=suspicion.members[0].endpoint_id,
             prompt_parts=','.join(suspicion.position_by_part),
         )
-        self._on_crash()
+        self._on_news()
 
     # Reports to the leader
 
--- a/packages/operators/src/apricotthread/operators/bodies.py
+++ b/packages/operators/src/apricotthread/operators/bodies.py
@@ -42,6 +42,36 @@
     admit: bool
 
 
+class QuarantinedPart(msgspec.Struct, frozen=True, kw_only=True):
+    """A part of prompts that has crashed endpoints.
+
+    Its `condition` is quarantined, on_probation or released, and ends in
+    `remaining_s` seconds. `strikes` counts its quarantines, `crashes` those
+    that led to the first. It is `tentative` while another part may be the
+    cause in its place.
+    """
+
+    part: str
+    condition: str
+    remaining_s: float
+    crashes: int
+    strikes: int
+    tentative: bool
+
+
+class QuarantineBody(msgspec.Struct, frozen=True, kw_only=True):
+    """The body of GET /quarantine."""
+
+    parts: list[QuarantinedPart]
+
+
+class ReleaseBody(msgspec.Struct, frozen=True, kw_only=True):
+    """The body of POST /quarantine/{part}/release."""
+
+    part: str
+    released: bool
+
+
 class NodeStatus(msgspec.Struct, frozen=True, kw_only=True):
     """The state of one node, as known to the answering node."""
 
--- a/packages/operators/src/apricotthread/operators/health.py
+++ b/packages/operators/src/apricotthread/operators/health.py
@@ -41,8 +41,9 @@
     *,
     process_metrics: metrics.Metrics,
     refresh: collections.abc.Callable[[], None],
+    path: str = '/metrics',
 ) -> routing.Route:
-    """Return the route /metrics, which calls `refresh` to set the gauges."""
+    """Return the route of metrics, which calls `refresh` to set the gauges."""
 
     async def show_metrics(request: requests.Request) -> responses.Response:
         refresh()
@@ -50,4 +51,4 @@
             process_metrics.render(), media_type=METRICS_TYPE
         )
 
-    return routing.Route('/metrics', show_metrics)
+    return routing.Route(path, show_metrics)
--- a/tests/crashingworker.py
+++ b/tests/crashingworker.py
@@ -25,9 +25,11 @@
         self.arrivals = collections.defaultdict(list)
         self._writers = set()
         self._restarting = None
+        self.is_up = True
 
     async def crash(self):
         """End, and start again after a while."""
+        self.is_up = False
         self._server.close()
         for task in list(self._tasks):
             if task is not asyncio.current_task():
@@ -43,6 +45,7 @@
         self.sequence = 0
         self.place = None
         await self.start()
+        self.is_up = True
 
     def stop(self):
         """Stop for good."""
--- a/tests/platformstandin.py
+++ b/tests/platformstandin.py
@@ -425,7 +425,8 @@
             self.control_port,
             self.caller_port,
             self.ready_port,
-        ) = localsystem.find_free_ports(4)
+            self.metrics_port,
+        ) = localsystem.find_free_ports(5)
         self.control_hosts = [f'127.0.1.{n + 1}' for n in range(controls)]
         self.entries = [f'127.0.2.{n + 1}' for n in range(entries)]
         self.controls = [
@@ -457,7 +458,7 @@
                 role='control' if is_control else 'entry',
                 data_centre='north',
                 data_centres='north,',
-                more='',
+                more=f'metrics_address = {host}:{self.metrics_port}',
                 grace=READY_GRACE_S,
                 lines=lines_per_s,
             )
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -242,7 +242,9 @@
         offer_guilty(world, seconds=5.0)
         await world.env.timer.sleep(8.0)
         crashes = len(world.crashes)
-        assert world.entries[2].monitor.quarantine.release(promptworld.BAD)
+        assert world.entries[2].monitor.quarantine.release(
+            promptworld.BAD, source='test'
+        )
         await world.env.timer.sleep(1.5)
         assert not world.quarantined()
         offer_guilty(world, seconds=6.0)
