Play prompts that crash members of groups on real nodes

The head goes on and falls silent. The crash is found all the same, as a member refuses connections: the part is quarantined 2 s after the first crash.

--- a/tests/crashingworker.py
+++ b/tests/crashingworker.py
@@ -8,19 +8,22 @@
 
 CRASH_DELAY_S = 0.05  # after the first events of the answer
 BACK_S = 1.0
+STALL_S = 5.0  # of a group whose member is gone
 
 
 class CrashingWorker(platformstandin.Worker):
     """A worker that ends when it begins to answer on the part 'bad'.
 
     It is back after a second and knows nothing of before. `crashes` has the
-    moments of its crashes for that part, `arrivals` those of requests with
-    each part.
+    moments of crashes for that part, `arrivals` those of requests with each
+    part. With `peer_by_name` the last member of its group ends in its place,
+    and it falls silent.
     """
 
-    def __init__(self, *, crash_part='bad', **values):
+    def __init__(self, *, crash_part='bad', peer_by_name=None, **values):
         super().__init__(**values)
         self.crash_part = crash_part
+        self._peer_by_name = peer_by_name
         self.crashes = []
         self.arrivals = collections.defaultdict(list)
         self._writers = set()
@@ -39,6 +42,14 @@
         self._writers.clear()
         self._restarting = asyncio.create_task(self._come_back())
 
+    async def _crash_member(self):
+        """End the last member, and stand still until this one breaks."""
+        join = next(o for o in reversed(self.orders) if o.kind == 'join')
+        peer = self._peer_by_name[join.member_ids[-1]]
+        if peer.is_up:
+            await peer.crash()
+        await asyncio.sleep(STALL_S)
+
     async def _come_back(self):
         await asyncio.sleep(BACK_S)
         self.born = int(time.time() * 1000)
@@ -71,6 +82,9 @@
             writer.write(self.make_head(headers) + b'\r\n')
             await asyncio.sleep(CRASH_DELAY_S)
             self.crashes.append(time.monotonic())
-            await self.crash()
+            if self._peer_by_name is not None:
+                await self._crash_member()
+            else:
+                await self.crash()
             raise ConnectionError
         await super()._run(headers, writer)
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -36,8 +36,9 @@
 class Site:
     """A deployment whose model groups are single VMs that can crash."""
 
-    def __init__(self, *, deployment):
+    def __init__(self, *, deployment, group_size):
         self.deployment = deployment
+        self.group_size = group_size
         self.vms = []
         self.status_by_attempt = {}
         self.body_by_attempt = {}
@@ -48,15 +49,18 @@
         await self.deployment.start()
         await self.deployment.call_control(
             platformstandin.PUT_TABLE_PATH,
-            platformstandin.make_config(1, group_size=1),
+            platformstandin.make_config(1, group_size=self.group_size),
         )
+        peer_by_name = {}
         for number in range(VMS):
             vm = crashingworker.CrashingWorker(
                 controls=self.deployment.controls,
                 name=f'vm-{number}',
                 service='models',
                 domain='d1',
+                peer_by_name=peer_by_name if self.group_size > 1 else None,
             )
+            peer_by_name[vm.name] = vm
             await vm.start()
             self.vms.append(vm)
             self.deployment.workers.append(vm)
@@ -66,9 +70,10 @@
             )
 
     async def _serves(self, host):
-        if any(
-            vm.place is None or vm.place.state != 'open' for vm in self.vms
-        ):
+        heads = [
+            vm for vm in self.vms if vm.place and vm.place.state == 'open'
+        ]
+        if len(heads) < VMS // self.group_size:
             return False
         try:
             status, _, _ = await self.deployment.request_stream(host, 'try')
@@ -155,13 +160,13 @@
 def run_site(children, tmp_path):
     """Return a function that runs a scenario on a site that serves."""
 
-    def run(scenario):
+    def run(scenario, *, group_size=1):
         async def main():
             deployment = platformstandin.Deployment(
                 children=children, folder=tmp_path
             )
             try:
-                site = Site(deployment=deployment)
+                site = Site(deployment=deployment, group_size=group_size)
                 await site.start()
                 await scenario(site)
             finally:
@@ -217,6 +222,17 @@
     run_site(scenario)
 
 
+def test_requests_that_crash_members_do_not_go_on_to_the_next_groups(run_site):
+    async def scenario(site):
+        await play(site, seconds=8.0)
+        await play(site, seconds=4.0, name='late-')
+        await site.finish()
+        check_guilty_are_kept_away(site)
+        assert site.served_share('late-sound') > 0.9
+
+    run_site(scenario, group_size=2)
+
+
 def test_sound_requests_are_served_while_engines_crash_for_other_reasons(
     run_site,
 ):
