Limit how many endpoints one request may crash on the own interface

An engine that brought one piece of the answer reset the count, so 50 of 50 engines ended; without a piece, and for repeatable calls, nine did. Nine engines or workers later the caller got the same failure.

Ruled out: calls with an idempotency key run once (a claim grants one run, its end is recorded as unknown), which a test shows.

Change: after three endpoints that failed as they began (fewer than 32 tokens) the request fails with the last failure, as not known to have run. Answers that got further are resumed as before.

--- a/packages/routing/src/apricotthread/routing/retries.py
+++ b/packages/routing/src/apricotthread/routing/retries.py
@@ -10,6 +10,8 @@
 MAX_SAVED_RETRIES = 10.0
 FIRST_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 1.0
+MAX_FAILED_DELIVERIES = 3
+TOKENS_OF_BEGINNING = 32  # an engine that fails later has borne the prompt
 
 
 class RetryBudget:
@@ -69,3 +71,28 @@
             if self._failure is None or error.ran is not errors.Ran.NO:
                 raise
             raise self._failure from error
+
+
+class DeliveryLimit:
+    """Limits how many endpoints may fail as they begin one request.
+
+    A request that crashes endpoints would go on to each of them, as an
+    endpoint that has died counts neither as a refusal nor as load.
+    """
+
+    def __init__(self) -> None:
+        self._failures = 0
+
+    def note(self, failure: errors.ApricotError, *, tokens: int = 0) -> None:
+        """Record a failed attempt that brought so many tokens.
+
+        Raises the failure if the request may not be delivered again.
+        """
+        if (
+            failure.code is errors.ErrorCode.ENDPOINT_FAILED
+            and failure.ran is not errors.Ran.NO
+            and tokens < TOKENS_OF_BEGINNING
+        ):
+            self._failures += 1
+            if self._failures >= MAX_FAILED_DELIVERIES:
+                raise failure
--- a/packages/routing/src/apricotthread/routing/router.py
+++ b/packages/routing/src/apricotthread/routing/router.py
@@ -184,6 +184,7 @@
         slow reader.
         """
         self._retry_budget.earn(call.service)
+        limit = retries.DeliveryLimit()
         offset = call.offset
         tries = 0
         deadline = call.deadline
@@ -215,6 +216,7 @@
             if is_finished:
                 return
             if failure is not None:
+                limit.note(failure, tokens=offset - first_offset)
                 if offset > first_offset:
                     tries = 0
                     deadline = self._env.timer.now() + self._request_timeout_s
@@ -354,6 +356,7 @@
         """
         self._retry_budget.earn(call.service)
         history = retries.AttemptHistory()
+        limit = retries.DeliveryLimit()
         tries = 0
         while True:
             with history.checked():
@@ -375,6 +378,7 @@
                     return
             tries += 1
             with history.checked():
+                limit.note(failure)
                 await self._wait_before_retry(
                     call, failure, tries, call.deadline
                 )
