Play prompts that crash workers in the soak

In half of the runs callers send streams whose prompts have a part that ends each worker that begins to answer it, for seven seconds of the storm; all other streams share their first part. Two checks: undisturbed entries send no more than three of them later than contact time after the fifth crash, and streams that share parts with them are served afterwards.

--- a/soak/backends.py
+++ b/soak/backends.py
@@ -5,6 +5,7 @@
 import random
 import time
 
+from soak import callers
 from soak import proxies
 from soak import record
 from soak import schedule
@@ -16,6 +17,8 @@
 FORM_S = 0.1
 LATE_ANSWER_DELAY_S = 1.5
 DRIP_PERIOD_S = 0.1
+CRASH_DELAY_S = 0.05  # after an answer that crashes a worker has begun
+CRASH_S = 1.5
 # Answers that have no end: what comes first, and what comes from then on.
 ENDLESS_ANSWERS = (
     ('', 'X-Filler: more\r\n' * 100),
@@ -217,12 +220,31 @@
             self._worker_monitor.record_ready(self.name, order)
             await self._send_heartbeat()
 
+    async def _crash_by_prompt(self, headers, writer):
+        """Begin an answer, then crash."""
+        writer.write(self.make_head(headers) + b'\r\n')
+        await asyncio.sleep(CRASH_DELAY_S)
+        observations = self._worker_monitor.observations
+        observations.guilty_runs.append(
+            record.GuiltyRun(
+                attempt_id=self.get_attempt_id(headers),
+                at_s=observations.now_s(),
+                crashed=self.is_up,
+            )
+        )
+        if self.is_up:
+            restarting = asyncio.create_task(self.crash_and_restart(CRASH_S))
+            await asyncio.shield(restarting)
+
     async def _run(self, headers, writer):
         violation = ''
         if 'model' in headers:
             if self.place is None or self.place.state != 'open':
                 self._reject(writer, headers)
                 return
+            if callers.GUILTY_PART in headers.get('prompt-prefix', ''):
+                await self._crash_by_prompt(headers, writer)
+                return
             violation = self._worker_monitor.find_group_violation(
                 self._current_order
             )
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,6 +1,7 @@
 """Callers with kept-alive connections, and a balancer over the entries."""
 
 import asyncio
+import contextlib
 import random
 
 import aiohttp
@@ -13,6 +14,10 @@
 # After two readiness polls in a row without a 200 an entry gets no new
 # connections.
 UNREADY_AFTER_MISSES = 2
+# Sound prompts share their first part with those that crash workers.
+GUILTY_PART = 'bad'
+GUILTY_PERIOD_S = 0.25
+TOPICS = 8
 REQUEST_PAUSE_S = 0.05
 PATH_BY_KIND = {
     record.CallKind.STREAM: '/lots/1',
@@ -152,6 +157,9 @@
             budget_s=record.TIME_BUDGET_S_BY_KIND[kind],
             model='m0' if kind is record.CallKind.STREAM else '',
         )
+        headers['Prompt-Prefix'] = make_prefix(
+            f'topic{self._random.randrange(TOPICS)}', attempt_id
+        )
         status = 0
         try:
             async with (
@@ -197,6 +205,54 @@
         return record.Outcome.WHOLE, status, violation
 
 
+def make_prefix(part: str, attempt_id: str) -> str:
+    """Return the parts of a prompt, of which all have the first."""
+    return f'all:40,{part}:100,own-{attempt_id}:300'
+
+
+async def send_guilty_prompts(
+    *,
+    seed: int,
+    observations: record.Observations,
+    balancer: Balancer,
+    url_by_entry: dict[str, str],
+    duration_s: float,
+) -> None:
+    """Send streams whose prompts crash workers to all ready entries."""
+    generator = random.Random(seed)
+    async with (
+        aiohttp.ClientSession() as session,
+        asyncio.TaskGroup() as group,
+    ):
+        for number in range(int(duration_s / GUILTY_PERIOD_S)):
+            entry = generator.choice(balancer.ready_entries)
+            attempt_id = f'guilty-{number}'
+            observations.entry_by_guilty_attempt[attempt_id] = entry
+            group.create_task(
+                _send_guilty(session, url_by_entry[entry], attempt_id)
+            )
+            await asyncio.sleep(GUILTY_PERIOD_S)
+
+
+async def _send_guilty(
+    session: aiohttp.ClientSession, url: str, attempt_id: str
+) -> None:
+    headers = platformstandin.make_caller_headers(
+        attempt_id,
+        budget_s=record.TIME_BUDGET_S_BY_KIND[record.CallKind.STREAM],
+        model='m0',
+    )
+    headers['Prompt-Prefix'] = make_prefix(GUILTY_PART, attempt_id)
+    with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
+        async with (
+            asyncio.timeout(6.0),
+            session.post(
+                url + PATH_BY_KIND[record.CallKind.STREAM], headers=headers
+            ) as answer,
+        ):
+            await answer.read()
+
+
 async def probe_tables(
     *,
     observations: record.Observations,
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -24,6 +24,10 @@
 # An idle connection may be closed while a request is on its way. Such an
 # attempt ends within this time, and the entry has not read the request.
 CLOSE_RACE_S = 0.2
+# Bounds of the users for prompts that crash workers.
+GRACE_CRASHES = 5
+CONTACT_S = 3.0
+MAX_LATE_GUILTY = 3
 
 
 def check_answers(observations: record.Observations) -> list[str]:
@@ -156,6 +160,49 @@
     return [f'{whole_count} of {len(later_attempts)} served after the faults']
 
 
+def check_guilty_prompts(
+    observations: record.Observations, plan: schedule.Schedule
+) -> list[str]:
+    """Check that prompts that crash workers are kept away from them.
+
+    After the fifth crash, undisturbed entries have CONTACT_S to learn of it.
+    """
+    crashes = [r.at_s for r in observations.guilty_runs if r.crashed]
+    if len(crashes) < GRACE_CRASHES:
+        return []
+    from_s = sorted(crashes)[GRACE_CRASHES - 1] + CONTACT_S
+    late = [
+        run
+        for run in observations.guilty_runs
+        if run.at_s > from_s
+        and is_undisturbed(
+            plan,
+            observations.entry_by_guilty_attempt[run.attempt_id],
+            run.at_s - CONTACT_S,
+            run.at_s,
+        )
+    ]
+    if len(late) <= MAX_LATE_GUILTY:
+        return []
+    return [f'{run.attempt_id} ran at {run.at_s:.1f} s' for run in late]
+
+
+def check_sound_prompts(
+    observations: record.Observations, plan: schedule.Schedule
+) -> list[str]:
+    """Check that prompts that share parts with guilty ones are served."""
+    streams = [
+        a
+        for a in observations.attempts
+        if a.kind is record.CallKind.STREAM
+        and a.began_s >= plan.planned_from_s
+    ]
+    whole_count = sum(a.outcome is record.Outcome.WHOLE for a in streams)
+    if whole_count >= MIN_SERVED_SHARE * len(streams):
+        return []
+    return [f'{whole_count} of {len(streams)} sound streams served']
+
+
 def check_taken_out(observations: record.Observations) -> list[str]:
     """Check that a taken-out data centre gets no new requests."""
     return observations.runs_after_take_out
@@ -203,6 +250,8 @@
         'planned work cuts nothing': check_planned_work(observations, plan),
         'refused at once': check_refusal_times(observations, plan),
         'served again': check_recovery(observations, plan),
+        'guilty prompts kept away': check_guilty_prompts(observations, plan),
+        'sound prompts served': check_sound_prompts(observations, plan),
         'taken out': check_taken_out(observations),
         'no exits': check_exits(observations),
     }
--- a/soak/play.py
+++ b/soak/play.py
@@ -116,6 +116,7 @@
                 ).items()
             }
         )
+        self._balancer = balancer
         yield balancer.run()
         yield self._operators.read_back_periodically()
         yield callers.probe_tables(
@@ -219,6 +220,16 @@
                 deployment.send_signal(target, signal.SIGCONT)
             case schedule.Kind.NODE_RELOAD:
                 deployment.send_signal(target, signal.SIGHUP)
+            case schedule.Kind.PROMPTS_CRASH:
+                await callers.send_guilty_prompts(
+                    seed=self._seed,
+                    observations=self._observations,
+                    balancer=self._balancer,
+                    url_by_entry=deployment.url_by_entry(
+                        deployment.caller_port
+                    ),
+                    duration_s=fault.duration_s,
+                )
             case schedule.Kind.CLOCK_STEP:
                 deployment.set_fault(target, clock_step_s=CLOCK_STEP_S)
                 await asyncio.sleep(fault.duration_s)
--- a/soak/record.py
+++ b/soak/record.py
@@ -66,6 +66,15 @@
     violation: str = ''
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class GuiltyRun:
+    """A request that a worker got, and ended under unless it had just."""
+
+    attempt_id: str
+    at_s: float
+    crashed: bool
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class AcknowledgedTable:
     """A table whose submission was acknowledged to the operator."""
@@ -107,6 +116,11 @@
     acknowledged_tables: list[AcknowledgedTable] = dataclasses.field(
         default_factory=list
     )
+    guilty_runs: list[GuiltyRun] = dataclasses.field(default_factory=list)
+    # The entry of each request whose prompt crashes workers.
+    entry_by_guilty_attempt: dict[str, str] = dataclasses.field(
+        default_factory=dict
+    )
     read_back: list[ReadBack] = dataclasses.field(default_factory=list)
     probes: list[Probe] = dataclasses.field(default_factory=list)
     # Orders that put a VM into a second group.
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -17,6 +17,9 @@
 MIN_PAUSE_S = 0.8
 MAX_PAUSE_S = 1.5
 PAUSED_SHARE = 0.5
+# Prompts that crash workers come in this share of the runs, for so long.
+CRASHING_SHARE = 0.5
+CRASHING_PROMPTS_S = 7.0
 
 
 class Kind(enum.Enum):
@@ -27,7 +30,8 @@
     are not HTTP, a lying one sends false announcements, and TWICE is a second
     answer to a request. A dripping worker sends a byte of its answer now and
     then, an endless one sends bytes until its connection is closed. A worker
-    that pauses is sound; it pauses during planned work only.
+    that pauses is sound; it pauses during planned work only. Prompts that
+    crash have a part that ends each worker that begins to answer it.
     """
 
     LINK_DELAY = 'link_delay'
@@ -57,6 +61,7 @@
     WORKER_DRIPS = 'worker_drips'
     WORKER_ENDLESS = 'worker_endless'
     WORKER_PAUSES = 'worker_pauses'
+    PROMPTS_CRASH = 'prompts_crash'
 
 
 # Planned work, which has to cut no answer.
@@ -92,7 +97,9 @@
 # Drawn apart from the others, so that the faults of older seeds stay.
 UNENDING_KINDS = (Kind.WORKER_DRIPS, Kind.WORKER_ENDLESS)
 MIXED_KINDS = tuple(
-    kind for kind in Kind if kind not in (*UNENDING_KINDS, Kind.WORKER_PAUSES)
+    kind
+    for kind in Kind
+    if kind not in (*UNENDING_KINDS, Kind.WORKER_PAUSES, Kind.PROMPTS_CRASH)
 )
 OPERATOR_KINDS = frozenset(
     {Kind.TABLES_IN_SUCCESSION, Kind.TABLES_RACED, Kind.DATA_CENTRE_OUT}
@@ -168,6 +175,7 @@
                 )
             )
     faults.extend(_make_unending(seed, storm_s, topology))
+    faults.extend(_make_crashing_prompts(seed, storm_s))
     planned_from_s = storm_s + RECOVERY_S
     for number, kind in enumerate(
         generator.sample(PLANNED_KINDS, len(PLANNED_KINDS))
@@ -242,6 +250,22 @@
     return faults
 
 
+def _make_crashing_prompts(seed: int, storm_s: float) -> list[Fault]:
+    """Return the time in which callers send prompts that crash workers."""
+    generator = random.Random(f'{seed} crashing prompts')
+    latest_s = storm_s - CRASHING_PROMPTS_S
+    if latest_s < FIRST_FAULT_S or generator.random() > CRASHING_SHARE:
+        return []
+    return [
+        Fault(
+            at_s=round(generator.uniform(FIRST_FAULT_S, latest_s), 3),
+            duration_s=CRASHING_PROMPTS_S,
+            kind=Kind.PROMPTS_CRASH,
+            target='',
+        )
+    ]
+
+
 def _make_pauses(
     seed: int, planned_from_s: float, topology: Topology
 ) -> list[Fault]:
