--- a/packages/gateway/src/apricotthread/gateway/exposures.py
+++ b/packages/gateway/src/apricotthread/gateway/exposures.py
@@ -67,7 +67,10 @@
     crashed: _Member | None = None
 
     def add(self, parts: tuple[str, ...]) -> None:
+        """Add the parts of a prompt, as far as the bound allows."""
         for position, part in enumerate(parts):
+            if len(self.position_by_part) >= crashanalysis.MAX_PARTS_OF_CRASH:
+                return
             self.position_by_part[part] = max(
                 position, self.position_by_part.get(part, 0)
             )
