--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -217,6 +217,47 @@
     assert find_broken_promises(observations, plan) == {'served again'}
 
 
+def test_guilty_prompts_that_go_on_to_workers_are_found(observations, plan):
+    for number in range(9):
+        attempt_id = f'guilty-{number}'
+        observations.entry_by_guilty_attempt[attempt_id] = 'entry-3'
+        observations.guilty_runs.append(
+            record.GuiltyRun(
+                attempt_id=attempt_id,
+                at_s=10.0 + number * 1.1,
+                crashed=number < 5,
+            )
+        )
+    # The fifth crash is at 14.4 s; two runs are within contact time.
+    assert find_broken_promises(observations, plan) == set()
+    observations.guilty_runs.extend(
+        record.GuiltyRun(attempt_id='guilty-0', at_s=at_s, crashed=False)
+        for at_s in (20.0, 20.5)
+    )
+    assert find_broken_promises(observations, plan) == {
+        'guilty prompts kept away'
+    }
+
+
+def test_sound_prompts_that_are_not_served_are_found(observations, plan):
+    observations.attempts.extend(
+        make_attempt(
+            f's-{number}',
+            kind=record.CallKind.STREAM,
+            began_s=26.0,
+            ended_s=26.1,
+            outcome=record.Outcome.REFUSED,
+            status=503,
+        )
+        for number in range(2)
+    )
+    observations.attempts.extend(
+        make_attempt(f'b-{number}', began_s=26.0, ended_s=26.1)
+        for number in range(30)
+    )
+    assert find_broken_promises(observations, plan) == {'sound prompts served'}
+
+
 def test_an_unexpected_exit_of_a_node_is_found(observations, plan):
     observations.exits.append('entry-1 ended with status 1')
     assert find_broken_promises(observations, plan) == {'no exits'}
