--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -254,6 +254,30 @@
     virtualclock.run(main())
 
 
+def test_a_call_under_which_endpoints_end_does_not_go_on_to_all(env):
+    """Endpoints that have ended count as no attempt."""
+
+    class EndingPool(Pool):
+        async def _read_head(self):
+            raise connections.ConnectionLost(reason='closed', sent=True)
+
+    async def main():
+        addresses = [f'w-{number}' for number in range(7)]
+        pool = EndingPool(dead=[])
+        forward = make_forwarder(env, pool, addresses)
+        forward._fleet.has_ended = lambda endpoint_id: True
+        with pytest.raises(errors.ApricotError) as caught:
+            await forward.forward(
+                make_request(env),
+                Sink(),
+                requesttrace.RequestTrace(env=env, request_id='r-1'),
+            )
+        assert caught.value.ran is errors.Ran.UNKNOWN
+        assert len(pool.ran_at_addresses) == 3
+
+    virtualclock.run(main())
+
+
 EVENT = b'id: 1\ndata: a\n\n'
 
 
