Number the records of the quarantine alike on all nodes

Where a quarantine ends, each node changes its record by its own clock, so an entry whose time of day is ahead could put its record above the leader's next one. The number now follows from the record itself (how often it was quarantined, and its stage), so nodes that make the same change agree, without a message. A new test plays an entry whose time of day is years ahead; it passes before as well, since the next crash numbers past it.

Entries also report faster only if there is news, and no longer for the first five seconds after their start.

--- a/packages/fleet/src/apricotthread/fleet/quarantine.py
+++ b/packages/fleet/src/apricotthread/fleet/quarantine.py
@@ -13,7 +13,6 @@
 
 from apricotthread.base import environment
 from apricotthread.base import logs
-from apricotthread.base import units
 from apricotthread.fleet import crashanalysis
 from apricotthread.fleet import crashreports
 
@@ -28,6 +27,7 @@
 RELEASED_S = 60.0
 EVALUATE_PERIOD_S = 0.1
 MAX_RECORDS = 64
+STAGES = 4  # of a record between two quarantines
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -35,7 +35,6 @@
     """The condition of a part until a time of the timer."""
 
     part: str
-    revision: int
     condition: crashreports.Condition
     ends_at: float
     since: float
@@ -46,6 +45,21 @@
     # The parts that may be the cause in its place, as this node knows them.
     rivals: tuple[str, ...] = ()
 
+    @property
+    def revision(self) -> int:
+        """A number that grows with each change, and is the same everywhere.
+
+        Nodes that end a condition by their own clocks agree on it.
+        """
+        match self.condition:
+            case crashreports.Condition.QUARANTINED:
+                stage = 0 if self.tentative else 1
+            case crashreports.Condition.ON_PROBATION:
+                stage = 2
+            case crashreports.Condition.RELEASED:
+                stage = 3
+        return STAGES * self.strikes + stage
+
     def export(self, now: float) -> crashreports.PartRecord:
         """Return the record as it is sent and shown."""
         return crashreports.PartRecord(
@@ -156,7 +170,6 @@
             self._store(
                 _Record(
                     part=record.part,
-                    revision=record.revision,
                     condition=record.condition,
                     ends_at=now + record.remaining_s,
                     since=now,
@@ -333,15 +346,15 @@
         is_doubtful = guilty.is_common or guilty.was_sound
         tentative = is_doubtful or bool(guilty.rivals)
         seconds = TENTATIVE_QUARANTINE_S if tentative else QUARANTINE_S
+        known = self._record_by_part.get(guilty.part)
         self._env.metrics.count('prompt_parts_found')
         self._store(
             _Record(
                 part=guilty.part,
-                revision=self._next_revision(guilty.part),
                 condition=crashreports.Condition.QUARANTINED,
                 ends_at=now + seconds,
                 since=now,
-                strikes=1,
+                strikes=known.strikes + 1 if known is not None else 1,
                 crashes=round(guilty.weight),
                 quarantine_s=seconds,
                 tentative=tentative,
@@ -362,7 +375,6 @@
         self._store(
             dataclasses.replace(
                 record,
-                revision=self._next_revision(record.part),
                 condition=condition,
                 ends_at=now + seconds,
                 since=now,
@@ -370,12 +382,6 @@
             reason=reason,
         )
 
-    def _next_revision(self, part: str) -> int:
-        """Return a revision that is higher than any that was forgotten."""
-        known = self._record_by_part.get(part)
-        unix_ms = int(self._env.timer.wall_time() * units.MS_PER_S)
-        return max(unix_ms, known.revision + 1 if known is not None else 0)
-
     def _store(self, record: _Record, *, reason: str) -> None:
         self._record_by_part[record.part] = record
         while len(self._record_by_part) > MAX_RECORDS:
--- a/packages/gateway/src/apricotthread/gateway/exposures.py
+++ b/packages/gateway/src/apricotthread/gateway/exposures.py
@@ -335,9 +335,7 @@
     def apply_reply(self, reply: crashreports.QuarantineReply) -> None:
         """Take over the leader's conclusions."""
         self._replied_at = self._env.timer.now()
-        if reply.digest != self._leader_digest or (
-            reply.watched != self._watched
-        ):
+        if reply.records or reply.watched != self._watched:
             self._alert_until = self._replied_at + ALERT_S
         self._leader_digest = reply.digest
         self._watched = reply.watched
--- a/tests/promptworld.py
+++ b/tests/promptworld.py
@@ -70,12 +70,12 @@
 class Entry:
     """An entry that sends requests to engines, and reports to the leader."""
 
-    def __init__(self, *, world, name):
+    def __init__(self, *, world, name, timer=None):
         self.world = world
         self.name = name
         self.is_linked = True
         self.monitor = exposures.ExposureMonitor(
-            env=world.env,
+            env=dataclasses.replace(world.env, timer=timer or world.env.timer),
             fleet=EntryFleet(engines=world.engine_by_name),
             entry_id=name,
         )
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -349,3 +349,31 @@
         assert len(crashreports.encode_reply(reply)) < 16 * units.KIB
 
     run(env, 6, scenario, engines=1, entries=1)
+
+
+def test_nodes_whose_clocks_differ_agree_when_a_quarantine_ends(
+    env, monkeypatch
+):
+    """The time of day of an entry is far ahead of the leader's."""
+    monkeypatch.setattr(quarantine, 'QUARANTINE_S', 8.0)
+
+    async def scenario(world):
+        offer_guilty(world, seconds=25.0)
+        await world.env.timer.sleep(5.0)
+        ahead = promptworld.Entry(
+            world=world,
+            name='ahead',
+            timer=virtualclock.VirtualTimer(),
+        )
+        ahead.monitor._env.timer.wall_time = lambda: 2e9
+        world.entries.append(ahead)
+        world.spawn(ahead.run())
+        await world.env.timer.sleep(18.0)
+        assert {
+            entry.monitor.quarantine.digest for entry in world.entries
+        } == {world.leader.digest}
+        assert world.quarantined() == {promptworld.BAD}
+        (record,) = ahead.monitor.records()
+        assert record.strikes >= 2
+
+    run(env, 7, scenario)
