Judge short answers a moment after they are whole

An engine crashes 50 to 150 ms after it begins to write on a guilty part, and an answer of a few events may be whole by then. It then counted as sound, cleared the part, and the engine ended without anybody to blame.

A whole answer of fewer than eight events is now sound only if its endpoint goes on for 0.3 s: no other answer was broken off there, and, if its parts are under suspicion, the endpoint still accepts connections.

--- a/packages/gateway/src/apricotthread/gateway/attempts.py
+++ b/packages/gateway/src/apricotthread/gateway/attempts.py
@@ -162,7 +162,7 @@
         match error:
             case None:
                 if self._state.exposure is not None:
-                    endpoints.exposure_monitor.note_sound(self._state.exposure)
+                    endpoints.exposure_monitor.note_whole(self._state.exposure)
             case AttemptFailure(is_broken_off=True):
                 self._note_broken_off()
             case connections.ConnectionLost(reason=reason):
--- a/packages/gateway/src/apricotthread/gateway/exposures.py
+++ b/packages/gateway/src/apricotthread/gateway/exposures.py
@@ -18,6 +18,8 @@
 # An engine crashes as it begins to write an answer: a request is suspected
 # until so many of its events have come, or all.
 SOUND_EVENTS = 8
+# A short answer may be whole just before its engine crashes under it.
+WHOLE_SETTLE_S = 0.3
 # A crashed endpoint refuses connections, or a later start of it announces
 # itself within this time.
 CONFIRM_S = 4.0
@@ -180,10 +182,44 @@
         """Record that an event has come."""
         exposure.events += 1
         if exposure.events == SOUND_EVENTS:
-            self.note_sound(exposure)
+            self._note_sound(exposure)
 
-    def note_sound(self, exposure: Exposure) -> None:
-        """Record that an answer is whole, or has gone on for long enough."""
+    def note_whole(self, exposure: Exposure) -> None:
+        """Record that an answer is whole, which is sound unless it was short.
+
+        A short one is sound if its endpoint goes on for a moment.
+        """
+        if exposure.is_sound:
+            return
+        if exposure.events >= SOUND_EVENTS or not exposure.members:
+            self._note_sound(exposure)
+        else:
+            self._spawn(self._judge_short_answer(exposure))
+
+    async def _judge_short_answer(self, exposure: Exposure) -> None:
+        await self._env.timer.sleep(WHOLE_SETTLE_S)
+        head = exposure.members[0]
+        has_crashed = (
+            _make_key(exposure) in self._suspicion_by_head
+            or self._has_restarted(head)
+            or (
+                not set(exposure.parts).isdisjoint(self._watched)
+                and await self._is_refused(head.address)
+            )
+        )
+        if has_crashed:
+            self.note_broken_off(exposure)
+        else:
+            self._note_sound(exposure)
+
+    def _spawn(
+        self, coroutine: collections.abc.Coroutine[None, None, None]
+    ) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _note_sound(self, exposure: Exposure) -> None:
         exposure.is_sound = True
         for part in exposure.parts:
             self._probe_until_by_part.pop(part, None)
@@ -206,8 +242,7 @@
             )
         ):
             return
-        head = exposure.members[0]
-        key = (head.endpoint_id, head.born_ms)
+        key = _make_key(exposure)
         suspicion = self._suspicion_by_head.get(key)
         if suspicion is None:
             suspicion = _Suspicion(
@@ -218,9 +253,7 @@
                 del self._suspicion_by_head[
                     next(iter(self._suspicion_by_head))
                 ]
-            task = asyncio.create_task(self._confirm(suspicion))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._spawn(self._confirm(suspicion))
         suspicion.add(exposure.parts)
         if suspicion.crashed is not None:
             self._on_news()
@@ -340,3 +373,9 @@
         self._leader_digest = reply.digest
         self._watched = reply.watched
         self.quarantine.merge(reply.records)
+
+
+def _make_key(exposure: Exposure) -> tuple[str, int]:
+    """Return the head of an exposure's replica, and when it was started."""
+    head = exposure.members[0]
+    return head.endpoint_id, head.born_ms
--- a/tests/promptworld.py
+++ b/tests/promptworld.py
@@ -144,7 +144,7 @@
             return False
         if BAD in parts:
             asyncio.ensure_future(world.crash_by_prompt(engine))
-        for _ in range(EVENTS):
+        for _ in range(world.events):
             if engine.lost_member and not ended.is_set():
                 # The stall is noticed a while later.
                 await world.env.timer.sleep(0.7)
@@ -154,7 +154,7 @@
             if not await self._wait(ended, EVENT_GAP_S):
                 self.monitor.note_broken_off(exposure)
                 return False
-        self.monitor.note_sound(exposure)
+        self.monitor.note_whole(exposure)
         return True
 
     async def _wait(self, ended, seconds):
@@ -182,6 +182,7 @@
             Entry(world=self, name=f'entry{number}')
             for number in range(entries)
         ]
+        self.events = EVENTS  # of each answer
         # Whether a crash by a prompt takes a member in place of the head.
         self.crashes_member = False
         self.crashes = []
