--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -188,20 +188,30 @@
     run(env, seed, scenario)
 
 
+async def play_short_answers(world, *, events):
+    """Check that guilty prompts are kept away if answers are this short."""
+    world.events = events
+    offer_guilty(world)
+    world.spawn(crash_in_turn(world, gap_s=2.0))
+    await world.env.timer.sleep(SECONDS)
+    check_guilty_are_kept_away(world)
+
+
 @pytest.mark.parametrize('seed', SEEDS)
 def test_short_prompts_whose_answers_are_whole_before_the_crash_are_kept_away(
     env, seed
 ):
     """Answers last 140 ms, and engines end 50 to 150 ms after they began."""
 
-    async def scenario(world):
-        world.events = 2
-        offer_guilty(world)
-        world.spawn(crash_in_turn(world, gap_s=2.0))
-        await world.env.timer.sleep(SECONDS)
-        check_guilty_are_kept_away(world)
+    run(env, seed, lambda world: play_short_answers(world, events=2))
 
-    run(env, seed, scenario)
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_prompts_whose_only_event_comes_before_the_crash_are_kept_away(
+    env, seed
+):
+    """Four of five answers are whole before their engine crashes."""
+    run(env, seed, lambda world: play_short_answers(world, events=1))
 
 
 @pytest.mark.parametrize('seed', SEEDS)
