--- a/packages/daemon/src/apricotthread/daemon/fleetnode.py
+++ b/packages/daemon/src/apricotthread/daemon/fleetnode.py
@@ -220,6 +220,7 @@
             if self.entry is not None:
                 tasks.create_task(self.entry.stall_watch.run())
                 tasks.create_task(self.entry.observations.run())
+                tasks.create_task(self.entry.retry_budget.run())
             # Discovery starts last, as it passes links to the components,
             # which have to run by then.
             await asyncio.sleep(0)
@@ -543,6 +544,12 @@
             load_table=load_table,
             observations=self.observations,
         )
+        self.retry_budget = budgets.RetryBudget(
+            env=env,
+            ratio=known.retry_ratio,
+            slack=known.retry_slack,
+            window_s=known.retry_window_s,
+        )
         self.application = application.GatewayApplication(
             env=env,
             fleet=self.fleet,
@@ -553,12 +560,7 @@
                 pool=node.pool,
                 dialect=dialect,
                 load_table=load_table,
-                budget=budgets.RetryBudget(
-                    env=env,
-                    ratio=known.retry_ratio,
-                    slack=known.retry_slack,
-                    window_s=known.retry_window_s,
-                ),
+                budget=self.retry_budget,
                 stall_watch=self.stall_watch,
                 observations=self.observations,
                 exposure_monitor=self.exposures,
--- a/packages/gateway/src/apricotthread/gateway/attempts.py
+++ b/packages/gateway/src/apricotthread/gateway/attempts.py
@@ -54,6 +54,8 @@
     is_counted: bool = False
     # The endpoint that was given up for the reserved one.
     given_up: placement.Choice | None = None
+    # When a retry was taken from the budget that is not sent yet.
+    retry_taken_at: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -140,12 +142,21 @@
             endpoints.loads.end(replica.endpoint_id)
             raise
         self._connection = connection
+        self._record_retry_delay()
         self._state.attempts += 1
         self._state.exposure = endpoints.exposure_monitor.begin(
             replica, request.caller.shared_parts
         )
         return connection
 
+    def _record_retry_delay(self) -> None:
+        """Record how long after it was counted a retry is sent."""
+        taken_at = self._state.retry_taken_at
+        self._state.retry_taken_at = None
+        if taken_at is not None:
+            env = self._endpoints.env
+            env.metrics.record_s('retry_delay', env.timer.now() - taken_at)
+
     def note_begun(self) -> None:
         """Stop counting the request as deferred, as its answer has begun."""
         if self._is_deferred:
--- a/packages/gateway/src/apricotthread/gateway/budgets.py
+++ b/packages/gateway/src/apricotthread/gateway/budgets.py
@@ -7,12 +7,14 @@
 import collections
 
 from apricotthread.base import environment
+from apricotthread.base import logs
 
 # Leaves a margin, as each entry rounds its share at random and the total
 # varies around the bound.
 COLD_SAFETY_FACTOR = 0.6
 # Leaves a margin, as entries do not see each other's retries as they happen.
 RETRY_SAFETY_FACTOR = 0.8
+LOG_PERIOD_S = 1.0
 
 
 class RetryBudget:
@@ -35,12 +37,38 @@
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
+        self._entries = 0
         self._request_times_by_service: dict[str, collections.deque[float]] = (
             collections.defaultdict(collections.deque)
         )
         self._retry_times_by_service: dict[str, collections.deque[float]] = (
             collections.defaultdict(collections.deque)
         )
+        self._taken_by_service = collections.Counter()
+        self._refused_by_service = collections.Counter()
+
+    async def run(self) -> None:
+        """Log the retries of each second until cancelled."""
+        async for _ in self._env.timer.subscribe(period_s=LOG_PERIOD_S):
+            services = self._taken_by_service.keys() | (
+                self._refused_by_service.keys()
+            )
+            for service in sorted(services):
+                logs.log_event(
+                    'retries_counted',
+                    service=service,
+                    taken=self._taken_by_service[service],
+                    refused=self._refused_by_service[service],
+                    requests_in_window=len(
+                        self._request_times_by_service[service]
+                    ),
+                    retries_in_window=len(
+                        self._retry_times_by_service[service]
+                    ),
+                    entries=self._entries,
+                )
+            self._taken_by_service.clear()
+            self._refused_by_service.clear()
 
     def note_request(self, service: str) -> None:
         """Count a caller's request to a service."""
@@ -53,6 +81,7 @@
 
         `entries` is how many entries share the budget.
         """
+        self._entries = entries
         request_times = self._drop_expired(
             self._request_times_by_service[service]
         )
@@ -61,8 +90,12 @@
             self._ratio * len(request_times) + self._slack / max(1, entries)
         )
         if len(retry_times) + 1 > allowed:
+            self._refused_by_service[service] += 1
+            self._env.metrics.count('retries_refused')
             return False
         retry_times.append(self._env.timer.now())
+        self._taken_by_service[service] += 1
+        self._env.metrics.count('retries')
         return True
 
     def _drop_expired(
--- a/packages/gateway/src/apricotthread/gateway/forwarder.py
+++ b/packages/gateway/src/apricotthread/gateway/forwarder.py
@@ -266,7 +266,7 @@
                 not_run=failure.not_run,
                 attempt_count=state.attempts,
                 broken_off=state.broken_off,
-            ) or self._take_retry(request)
+            ) or self._take_retry(request, state)
         if (
             why_not
             and failure.not_run
@@ -306,11 +306,14 @@
             return 'no time is left'
         return ''
 
-    def _take_retry(self, request: requests.RoutedRequest) -> str:
+    def _take_retry(
+        self, request: requests.RoutedRequest, state: attempts.AttemptState
+    ) -> str:
         """Take a retry from the budget; return why not, empty if taken."""
         if self._budget.take(
             request.service.name, entries=self._fleet.entry_count
         ):
+            state.retry_taken_at = self._env.timer.now()
             return ''
         return 'the retry budget is used up'
 
@@ -345,7 +348,7 @@
         is_full = candidate.load + 1 > candidate.replica.slots
         if request.service.engine is not None and is_full:
             return False
-        if self._take_retry(request):
+        if self._take_retry(request, state):
             return False
         self._reserve(state, placed)
         state.given_up = choice
@@ -369,7 +372,7 @@
         if (
             choice is None
             or self._fleet.is_lost(choice.candidate.replica)
-            or self._take_retry(request)
+            or self._take_retry(request, state)
         ):
             return False
         self._reserve(state, choice)
