--- a/packages/daemon/src/apricotthread/daemon/fleetnode.py
+++ b/packages/daemon/src/apricotthread/daemon/fleetnode.py
@@ -72,6 +72,8 @@
         env: environment.Environment,
         log_writer: logs.LineWriter,
         open_folder: FolderOpener = folders.open_folder,
+        network: connections.Network | None = None,
+        pool: endpoint_connections.ConnectionPool | None = None,
     ) -> None:
         self.settings = settings
         self.env = env
@@ -90,7 +92,7 @@
             peer_port=own.peer_port,
             roles=sorted(role.value for role in own.roles),
         )
-        network = connections.TcpNetwork(
+        network = network or connections.TcpNetwork(
             max_frame_bytes=settings.max_frame_bytes,
             process_metrics=env.metrics,
         )
@@ -104,7 +106,7 @@
             lease_s=settings.lease_s,
             on_change=lambda: None,
         )
-        self.pool = endpoint_connections.ConnectionPool(
+        self.pool = pool or endpoint_connections.ConnectionPool(
             env=env, max_idle=MAX_IDLE_CONNECTIONS
         )
         self.control = ControlComponents(node=self) if own.is_voter else None
@@ -196,7 +198,7 @@
         )
         if self.control is not None:
             await self.control.raft.load()
-        components_task = asyncio.create_task(self._run_components())
+        components_task = asyncio.create_task(self.run_components())
         listening = self._start_listeners()
         stopping = asyncio.create_task(self._stopping.wait())
         await asyncio.wait(
@@ -208,7 +210,8 @@
         logs.log_event('node_stopped', node=self.settings.node_id)
         components_task.cancel()
 
-    async def _run_components(self) -> None:
+    async def run_components(self) -> None:
+        """Run all but the HTTP listeners until cancelled."""
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self.peer_server.run())
             tasks.create_task(self.members.run(self._make_heartbeat))
@@ -550,23 +553,24 @@
             slack=known.retry_slack,
             window_s=known.retry_window_s,
         )
+        self.forwarder = forwarder.Forwarder(
+            env=env,
+            fleet=self.fleet,
+            pool=node.pool,
+            dialect=dialect,
+            load_table=load_table,
+            budget=self.retry_budget,
+            stall_watch=self.stall_watch,
+            observations=self.observations,
+            exposure_monitor=self.exposures,
+            own_data_centre=settings.data_centre,
+            cold_overshoot=known.cold_overshoot,
+        )
         self.application = application.GatewayApplication(
             env=env,
             fleet=self.fleet,
             dialect=dialect,
-            forward=forwarder.Forwarder(
-                env=env,
-                fleet=self.fleet,
-                pool=node.pool,
-                dialect=dialect,
-                load_table=load_table,
-                budget=self.retry_budget,
-                stall_watch=self.stall_watch,
-                observations=self.observations,
-                exposure_monitor=self.exposures,
-                own_data_centre=settings.data_centre,
-                cold_overshoot=known.cold_overshoot,
-            ),
+            forward=self.forwarder,
         )
 
     def _on_table(self, table: routetables.RouteTable) -> None:
--- a/packages/fakes/src/apricotthread/fakes/networks.py
+++ b/packages/fakes/src/apricotthread/fakes/networks.py
@@ -36,6 +36,10 @@
         self.cut(node, peer)
         self.cut(peer, node)
 
+    def heal_both(self, node: str, peer: str) -> None:
+        """Undo the cuts between two nodes."""
+        self._cuts -= {(node, peer), (peer, node)}
+
     def heal(self) -> None:
         """Undo every cut."""
         self._cuts.clear()
