--- a/packages/daemon/src/apricotthread/daemon/fleetnode.py
+++ b/packages/daemon/src/apricotthread/daemon/fleetnode.py
@@ -29,6 +29,7 @@
 from apricotthread.fleet import evidence
 from apricotthread.fleet import publisher
 from apricotthread.fleet import quarantine
+from apricotthread.fleet import shares
 from apricotthread.fleet import subscriber
 from apricotthread.fleet import view
 from apricotthread.gateway import application
@@ -177,9 +178,6 @@
             version=0,
             capacities=[],
             vms=[],
-            entries=self.control.observations.count_entries()
-            if self.control
-            else 0,
         )
 
     async def run(self) -> None:
@@ -405,12 +403,14 @@
         )
         self.observations = evidence.EvidenceStore(env=env)
         self.quarantine = quarantine.Quarantine(env=env)
+        self.shares = shares.ShareRegistry(
+            env=env, longest_window_s=known.retry_window_s
+        )
         self.fleet_publisher = publisher.Publisher(
             env=env,
             raft=self.raft,
             members=members,
             endpoints=self.endpoints,
-            observations=self.observations,
         )
         self.voter_manager = admissions.VoterManager(
             env=env,
@@ -484,7 +484,8 @@
         """Store an entry's report on groups, or forward it to the leader.
 
         The leader replies with the numbers of requests that all entries
-        have in flight. Reports from other control nodes are not forwarded.
+        have in flight, and with the entry's share of their bounds. Reports
+        from other control nodes are not forwarded.
         """
         leader_id = self.raft.leader_id
         link = self._link_by_id.get(leader_id)
@@ -508,6 +509,19 @@
             quarantine=crashreports.encode_reply(
                 self.quarantine.reply_to(report.crash_report)
             ),
+            share=self._grant_share(report),
+        )
+
+    def _grant_share(self, report: evidence.EntryReport) -> bytes:
+        """Return an entry's share, empty while another node may lead."""
+        if not self.raft.holds_lease():
+            return b''
+        return shares.encode_grant(
+            self.shares.grant(
+                report.entry_id,
+                report.share_claim,
+                leader_since=self.raft.leader_since,
+            )
         )
 
     def start(self, tasks: asyncio.TaskGroup) -> None:
@@ -530,6 +544,7 @@
         self.subscriptions = subscriber.Subscriber(env=env, fleet=self.fleet)
         dialect = callers.PlatformDialect()
         load_table = loads.LoadTable(env=env)
+        self.share = shares.ShareHolder(env=env)
         self.exposures = exposures.ExposureMonitor(
             env=env, fleet=self.fleet, entry_id=settings.node_id
         )
@@ -540,6 +555,7 @@
             fleet=self.fleet,
             load_table=load_table,
             exposure_monitor=self.exposures,
+            share=self.share,
         )
         self.stall_watch = stallwatch.StallWatch(
             env=env,
@@ -549,6 +565,7 @@
         )
         self.retry_budget = budgets.RetryBudget(
             env=env,
+            share=self.share,
             ratio=known.retry_ratio,
             slack=known.retry_slack,
             window_s=known.retry_window_s,
@@ -560,6 +577,7 @@
             dialect=dialect,
             load_table=load_table,
             budget=self.retry_budget,
+            share=self.share,
             stall_watch=self.stall_watch,
             observations=self.observations,
             exposure_monitor=self.exposures,
--- a/packages/fleet/src/apricotthread/fleet/evidence.py
+++ b/packages/fleet/src/apricotthread/fleet/evidence.py
@@ -7,6 +7,7 @@
 
 from apricotthread.base import environment
 from apricotthread.fleet import crashreports
+from apricotthread.fleet import shares
 
 
 class GroupSight(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -35,6 +36,7 @@
     # Number of requests by endpoint id; a group is counted at its head.
     in_flight: dict[str, int] = {}
     crash_report: crashreports.CrashReport = crashreports.CrashReport()
+    share_claim: shares.ShareClaim = shares.ShareClaim()
 
 
 _REPORT_DECODER = msgspec.msgpack.Decoder(EntryReport)
@@ -62,9 +64,6 @@
 
 
 NEVER = float('-inf')
-# An entry is counted for longer than it takes to notice that it is gone, as
-# it may still be sending requests.
-ENTRY_LEASE_S = 5.0
 # How long the counts of a report are used; entries report twice a second.
 IN_FLIGHT_VALID_S = 1.5
 SUM_PERIOD_S = 0.1  # entries that report within it get the same sum
@@ -94,11 +93,6 @@
         self._encoded_at = NEVER
         self.has_callers = False
 
-    def count_entries(self) -> int:
-        """Return how many entries have reported within ENTRY_LEASE_S."""
-        oldest = self._env.timer.now() - ENTRY_LEASE_S
-        return sum(at >= oldest for at in self._heard_at_by_entry.values())
-
     def take(self, report: EntryReport) -> None:
         """Merge a report that has just arrived."""
         now = self._env.timer.now()
--- a/packages/fleet/src/apricotthread/fleet/publisher.py
+++ b/packages/fleet/src/apricotthread/fleet/publisher.py
@@ -10,7 +10,6 @@
 from apricotthread.base import logs
 from apricotthread.control import replica
 from apricotthread.endpoints import directory
-from apricotthread.fleet import evidence
 from apricotthread.fleet import updates
 from apricotthread.nodes import links
 from apricotthread.nodes import membership
@@ -32,7 +31,6 @@
     revision: int = 0
     applied_index: int = 0
     table_version: int = 0
-    entry_count: int = 0
 
 
 class Publisher:
@@ -45,13 +43,11 @@
         raft: replica.Replica,
         members: membership.Membership,
         endpoints: directory.Directory,
-        observations: evidence.EvidenceStore,
     ) -> None:
         self._env = env
         self._raft = raft
         self._members = members
         self._endpoints = endpoints
-        self._evidence_store = observations
         self._payload_by_transition: dict[tuple[_Sent, _Sent], bytes] = {}
         self._groups_by_index: dict[int, dict[str, updates.GroupNews]] = {}
         self._pending: list[directory.Heard] = []
@@ -181,7 +177,7 @@
                         )
                     )
                     sent = current
-                await self._wait_for_change(changed)
+                await changed.wait()
                 await self._env.timer.sleep(BATCH_S)
         finally:
             logs.log_event('subscriber_lost', peer=peer.node_id)
@@ -194,7 +190,6 @@
             revision=self._endpoints.revision,
             applied_index=self._raft.applied_index,
             table_version=max(table_version, content.routes_version),
-            entry_count=self.count_entries(),
         )
 
     def _encode_update(self, sent: '_Sent', current: '_Sent') -> bytes:
@@ -209,28 +204,6 @@
             self._payload_by_transition[sent, current] = payload
         return payload
 
-    async def _wait_for_change(self, changed: asyncio.Event) -> None:
-        try:
-            async with self._env.timer.timeout(1.0):
-                await changed.wait()
-        except TimeoutError:
-            pass  # the number of entries is checked once a second
-
-    def count_entries(self) -> int:
-        """Return the number of entries in the whole fleet.
-
-        The leader counts the entries that report to it; other control
-        nodes take the number from the leader's heartbeat. Without either,
-        the entries that are linked to this node are counted.
-        """
-        linked = sum(
-            node_id not in self._members.link_by_id
-            for node_id in self._members.fresh_heartbeats()
-        )
-        leader = self._members.fresh_heartbeats().get(self._raft.leader_id)
-        reported = leader.entries if leader is not None else 0
-        return max(linked, reported, self._evidence_store.count_entries())
-
     def _make_update(
         self, sent: '_Sent', current: '_Sent'
     ) -> updates.FleetUpdate:
@@ -241,7 +214,6 @@
             complete=sent.complete,
             applied_index=current.applied_index,
             table_version=content.routes_version,
-            entry_count=current.entry_count,
             table=content.routes_table if has_table else b'',
             taken_out=tuple(content.taken_out),
             changed_groups=changed,
--- a/packages/fleet/src/apricotthread/fleet/updates.py
+++ b/packages/fleet/src/apricotthread/fleet/updates.py
@@ -32,7 +32,6 @@
     complete: bool
     applied_index: int
     table_version: int
-    entry_count: int
     table: bytes = b''
     taken_out: tuple[str, ...] = ()
     changed_groups: tuple[GroupNews, ...] = ()
--- a/packages/fleet/src/apricotthread/fleet/view.py
+++ b/packages/fleet/src/apricotthread/fleet/view.py
@@ -68,7 +68,6 @@
         self.taken_out: frozenset[str] = frozenset()
         self._groups_by_control: dict[str, dict[str, updates.GroupNews]] = {}
         self.groups: tuple[updates.GroupNews, ...] = ()
-        self.entry_count = 1
         self.endpoint_by_id: dict[str, KnownEndpoint] = {}
         self.last_update_at = float('-inf')
 
@@ -111,19 +110,8 @@
             self.applied_index = update.applied_index
             self.taken_out = frozenset(update.taken_out)
             self.groups = tuple(groups.values())
-        self._apply_entry_count(control_id, max(1, update.entry_count))
         self._replicas_by_service.clear()
 
-    def _apply_entry_count(self, control_id: str, entry_count: int) -> None:
-        if entry_count != self.entry_count:
-            logs.log_event(
-                'entry_count_changed',
-                peer=control_id,
-                before=self.entry_count,
-                after=entry_count,
-            )
-        self.entry_count = entry_count
-
     def _apply_table(self, update: updates.FleetUpdate) -> None:
         if self.table is not None and (
             update.table_version <= self.table.version
--- a/packages/gateway/src/apricotthread/gateway/budgets.py
+++ b/packages/gateway/src/apricotthread/gateway/budgets.py
@@ -1,13 +1,14 @@
 """Budgets for retries and for requests to cold endpoints.
 
-Each bound holds for all entries together. An entry enforces its own share
-and does not ask the others.
+Each bound holds for all entries together. An entry enforces its own share,
+which the leader grants; without a grant it has none.
 """
 
 import collections
 
 from apricotthread.base import environment
 from apricotthread.base import logs
+from apricotthread.fleet import shares
 
 # Leaves a margin, as each entry rounds its share at random and the total
 # varies around the bound.
@@ -22,13 +23,15 @@
 
     Within `window_s` seconds all entries together may retry `ratio` times
     the number of requests, plus `slack`. Each entry applies the ratio to
-    its own requests and takes an equal part of the slack.
+    its own requests, for which it needs to know nothing of the others, and
+    takes its share of the slack.
     """
 
     def __init__(
         self,
         *,
         env: environment.Environment,
+        share: shares.ShareHolder,
         ratio: float,
         slack: float,
         window_s: float,
@@ -37,7 +40,7 @@
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
-        self._entries = 0
+        self._share = share
         self._request_times_by_service: dict[str, collections.deque[float]] = (
             collections.defaultdict(collections.deque)
         )
@@ -65,7 +68,8 @@
                     retries_in_window=len(
                         self._retry_times_by_service[service]
                     ),
-                    entries=self._entries,
+                    entries=self._share.entries,
+                    share=self._share.fraction(self._window_s),
                 )
             self._taken_by_service.clear()
             self._refused_by_service.clear()
@@ -76,18 +80,15 @@
             self._env.timer.now()
         )
 
-    def take(self, service: str, *, entries: int) -> bool:
-        """Count a retry if the budget allows it; return whether it does.
-
-        `entries` is how many entries share the budget.
-        """
-        self._entries = entries
+    def take(self, service: str) -> bool:
+        """Count a retry if the budget allows it; return whether it does."""
         request_times = self._drop_expired(
             self._request_times_by_service[service]
         )
         retry_times = self._drop_expired(self._retry_times_by_service[service])
         allowed = RETRY_SAFETY_FACTOR * (
-            self._ratio * len(request_times) + self._slack / max(1, entries)
+            self._ratio * len(request_times)
+            + self._slack * self._share.fraction(self._window_s)
         )
         if len(retry_times) + 1 > allowed:
             self._refused_by_service[service] += 1
@@ -111,21 +112,21 @@
     *,
     requests_per_s: float,
     overshoot: float,
-    entries: int,
+    share: float,
     sent: int,
     draw: float,
 ) -> int:
     """Return how many more requests this entry may send to a cold endpoint.
 
     All entries together may send `overshoot` times `requests_per_s` within
-    a second, and each has an equal share. `sent` counts the requests that
-    this entry sent within the last second. The fraction of a request in
-    the share is granted with that probability: `draw` is a uniform random
+    a second; `share` is this entry's, from 0 to 1. `sent` counts the requests
+    that this entry sent within the last second. The fraction of a request
+    in the share is granted with that probability: `draw` is a uniform random
     number from 0 to 1 that stays the same for a second. Without a limit,
     where `requests_per_s` is 0, the result is 1.
     """
     if requests_per_s <= 0:
         return 1
-    share = COLD_SAFETY_FACTOR * requests_per_s * overshoot / max(1, entries)
-    whole = int(share)
-    return whole + (draw < share - whole) - sent
+    allowed = COLD_SAFETY_FACTOR * requests_per_s * overshoot * share
+    whole = int(allowed)
+    return whole + (draw < allowed - whole) - sent
--- a/packages/gateway/src/apricotthread/gateway/forwarder.py
+++ b/packages/gateway/src/apricotthread/gateway/forwarder.py
@@ -8,6 +8,7 @@
 from apricotthread.base import errors
 from apricotthread.control import routetables
 from apricotthread.endpoints import connections
+from apricotthread.fleet import shares
 from apricotthread.fleet import view
 from apricotthread.gateway import attempts
 from apricotthread.gateway import budgets
@@ -74,6 +75,7 @@
         stall_watch: stallwatch.StallWatch,
         observations: groupmonitor.GroupMonitor,
         exposure_monitor: exposures.ExposureMonitor,
+        share: shares.ShareHolder,
         own_data_centre: str,
         cold_overshoot: float,
     ) -> None:
@@ -90,6 +92,7 @@
             fleet=fleet,
             load_table=load_table,
             observations=observations,
+            share=share,
             own_data_centre=own_data_centre,
             cold_overshoot=cold_overshoot,
         )
@@ -310,9 +313,7 @@
         self, request: requests.RoutedRequest, state: attempts.AttemptState
     ) -> str:
         """Take a retry from the budget; return why not, empty if taken."""
-        if self._budget.take(
-            request.service.name, entries=self._fleet.entry_count
-        ):
+        if self._budget.take(request.service.name):
             state.retry_taken_at = self._env.timer.now()
             return ''
         return 'the retry budget is used up'
--- a/packages/gateway/src/apricotthread/gateway/groupmonitor.py
+++ b/packages/gateway/src/apricotthread/gateway/groupmonitor.py
@@ -10,6 +10,7 @@
 from apricotthread.endpoints import connections
 from apricotthread.fleet import crashreports
 from apricotthread.fleet import evidence
+from apricotthread.fleet import shares
 from apricotthread.fleet import view
 from apricotthread.gateway import exposures
 from apricotthread.gateway import loads
@@ -49,7 +50,8 @@
 class GroupMonitor:
     """Keeps when groups made progress, stalled or were unreachable.
 
-    Reports these times and the entry's requests in flight to the leader.
+    Reports these times and the entry's requests in flight to the leader,
+    which renews the entry's share in reply.
     `has_callers` says whether any caller's request has come to the entry.
     """
 
@@ -62,10 +64,12 @@
         fleet: view.FleetView,
         load_table: loads.LoadTable,
         exposure_monitor: exposures.ExposureMonitor,
+        share: shares.ShareHolder,
     ) -> None:
         self._env = env
         self._members = members
         self._exposures = exposure_monitor
+        self._share = share
         self._data_centre = data_centre
         self._fleet = fleet
         self._loads = load_table
@@ -214,20 +218,20 @@
         The leader gets no more than ALERT_REPORTS_PER_S, unless there are
         more entries than that allows.
         """
-        if not self._exposures.is_alert:
+        if not self._exposures.is_alert or not self._share.entries:
             return REPORT_PERIOD_S
-        return min(
-            REPORT_PERIOD_S, self._fleet.entry_count / ALERT_REPORTS_PER_S
-        )
+        return min(REPORT_PERIOD_S, self._share.entries / ALERT_REPORTS_PER_S)
 
     async def _send(self, report: messages.Evidence) -> None:
         for link in list(self._members.link_by_id.values()):
             if not link.peer.is_voter or not link.is_connected:
                 continue
+            sent_at = self._env.timer.now()
             reply = await link.try_call(report, timeout_s=REPLY_TIMEOUT_S)
             if isinstance(reply, messages.EvidenceReply):
                 self._apply_in_flight_sums(reply.payload)
                 self._apply_quarantine(reply.quarantine)
+                self._apply_share(reply.share, sent_at)
             if reply is not None:
                 return
         logs.log_event('report_lost')
@@ -254,6 +258,17 @@
             return
         self._exposures.apply_reply(reply)
 
+    def _apply_share(self, payload: bytes, sent_at: float) -> None:
+        """Renew the lease on the share, unless the leader is uncertain."""
+        if not payload:
+            return
+        try:
+            grant = shares.decode_grant(payload)
+        except msgspec.DecodeError as error:
+            logs.log_event('share_broken', reason=str(error))
+            return
+        self._share.apply(grant, sent_at=sent_at)
+
     def _make_report(self, now: float) -> evidence.EntryReport:
         groups = []
         for key, observation in list(self._observation_by_group.items()):
@@ -282,6 +297,7 @@
             groups=tuple(groups),
             in_flight=self._loads.report_in_flight(),
             crash_report=self._exposures.make_report(),
+            share_claim=self._share.make_claim(),
         )
 
 
--- a/packages/gateway/src/apricotthread/gateway/selection.py
+++ b/packages/gateway/src/apricotthread/gateway/selection.py
@@ -4,6 +4,7 @@
 import zlib
 
 from apricotthread.base import environment
+from apricotthread.fleet import shares
 from apricotthread.fleet import view
 from apricotthread.gateway import budgets
 from apricotthread.gateway import groupmonitor
@@ -22,6 +23,7 @@
         fleet: view.FleetView,
         load_table: loads.LoadTable,
         observations: groupmonitor.GroupMonitor,
+        share: shares.ShareHolder,
         own_data_centre: str,
         cold_overshoot: float,
     ) -> None:
@@ -29,6 +31,7 @@
         self._fleet = fleet
         self._loads = load_table
         self._group_monitor = observations
+        self._share = share
         self._own_data_centre = own_data_centre
         self._cold_overshoot = cold_overshoot
         self._salt = env.new_id()
@@ -97,7 +100,7 @@
             cold_allowance = budgets.cold_allowance(
                 requests_per_s=request.service.cold_requests_per_s,
                 overshoot=self._cold_overshoot,
-                entries=self._fleet.entry_count,
+                share=self._share.fraction(loads.COLD_WINDOW_S),
                 sent=self._loads.sent_within_cold_window(replica.endpoint_id),
                 draw=self._draw(replica.endpoint_id),
             )
--- a/packages/nodes/src/apricotthread/nodes/messages.py
+++ b/packages/nodes/src/apricotthread/nodes/messages.py
@@ -60,8 +60,6 @@
     capacities: list[Capacity]
     vms: list[VmReport]
     local_out: bool = False
-    # The number of entries; the leader counts them by their reports.
-    entries: int = 0
 
 
 class Fault(Message):
@@ -410,12 +408,14 @@
     """The leader's answer to an entry's observations, in MessagePack.
 
     `payload` has the requests in flight from all entries by endpoint,
-    `quarantine` the parts of prompts that are kept away; empty from a leader
-    that knows of none.
+    `quarantine` the parts of prompts that are kept away, and `share` the
+    entry's share of bounds that all entries hold together. The last two may
+    be empty.
     """
 
     payload: bytes
     quarantine: bytes = b''
+    share: bytes = b''
 
 
 class DocumentRequest(Message):
--- a/packages/nodes/src/apricotthread/nodes/peer.capnp
+++ b/packages/nodes/src/apricotthread/nodes/peer.capnp
@@ -69,7 +69,6 @@
   capacities @5 :List(Capacity);
   vms @6 :List(VmReport);
   localOut @7 :Bool;
-  entries @8 :UInt32;
 }
 
 struct Capacity {
@@ -327,6 +326,7 @@
 struct EvidenceReply {
   payload @0 :Data;
   quarantine @1 :Data;
+  share @2 :Data;
 }
 
 struct DocumentRequest {}
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -9,6 +9,7 @@
 from apricotthread.base import errors
 from apricotthread.control import routetables
 from apricotthread.endpoints import connections
+from apricotthread.fakes import fixedshares
 from apricotthread.fakes import virtualclock
 from apricotthread.fleet import view
 from apricotthread.gateway import budgets
@@ -144,7 +145,6 @@
             is_available=lambda endpoint_id: True,
             takes_requests=lambda replica: False,
             has_ended=lambda endpoint_id: False,
-            entry_count=1,
             applied_index=1,
         ),
         pool=pool,
@@ -155,8 +155,13 @@
         ),
         load_table=loads.LoadTable(env=env),
         budget=budgets.RetryBudget(
-            env=env, ratio=1.0, slack=100.0, window_s=10.0
+            env=env,
+            share=fixedshares.FixedShare(),
+            ratio=1.0,
+            slack=100.0,
+            window_s=10.0,
         ),
+        share=fixedshares.FixedShare(),
         stall_watch=types.SimpleNamespace(
             add=lambda attempt: None, remove=lambda attempt: None
         ),
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -8,6 +8,7 @@
 
 from apricotthread.base import errors
 from apricotthread.control import routetables
+from apricotthread.fakes import fixedshares
 from apricotthread.fakes import virtualclock
 from apricotthread.fleet import evidence
 from apricotthread.fleet import view
@@ -205,7 +206,13 @@
 def test_retries_of_all_entries_stay_within_the_budget(env):
     async def main():
         entries = [
-            budgets.RetryBudget(env=env, ratio=0.2, slack=130.0, window_s=10.0)
+            budgets.RetryBudget(
+                env=env,
+                share=fixedshares.FixedShare(entries=7),
+                ratio=0.2,
+                slack=130.0,
+                window_s=10.0,
+            )
             for _ in range(7)
         ]
         retries = 0
@@ -214,10 +221,10 @@
                 entry.note_request('models')
         for entry in entries:
             for _ in range(200):
-                retries += entry.take('models', entries=7)
+                retries += entry.take('models')
         assert 100 < retries <= 0.2 * 700 + 130
         await env.timer.sleep(11.0)
-        assert entries[0].take('models', entries=7)
+        assert entries[0].take('models')
 
     virtualclock.run(main())
 
@@ -231,7 +238,7 @@
             budgets.cold_allowance(
                 requests_per_s=36.0,
                 overshoot=1.5,
-                entries=entries,
+                share=1 / entries,
                 sent=0,
                 draw=generator.random(),
             )
@@ -245,7 +252,7 @@
 def test_requests_sent_within_the_second_use_up_the_cold_allowance():
     assert (
         budgets.cold_allowance(
-            requests_per_s=36.0, overshoot=1.5, entries=7, sent=9, draw=0.0
+            requests_per_s=36.0, overshoot=1.5, share=1 / 7, sent=9, draw=0.0
         )
         <= 0
     )
--- a/tests/test_retry_bound.py
+++ b/tests/test_retry_bound.py
@@ -8,7 +8,7 @@
 RATE = 75.0
 FAILING = 0.7
 LENGTH_S = 30.0
-WARM_UP_S = 10.0
+WARM_UP_S = 16.0  # until the entries have their shares
 
 
 def play(seed, disturb, *, entries=9):
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -11,6 +11,7 @@
 from apricotthread.control import routetables
 from apricotthread.endpoints import connections
 from apricotthread.endpoints import directory
+from apricotthread.fakes import fixedshares
 from apricotthread.fakes import virtualclock
 from apricotthread.fleet import updates
 from apricotthread.fleet import view
@@ -320,6 +321,7 @@
         exposure_monitor = exposures.ExposureMonitor(
             env=env, fleet=self.fleet, entry_id='entry'
         )
+        share = fixedshares.FixedShare()
         monitor = groupmonitor.GroupMonitor(
             env=env,
             members=None,
@@ -327,6 +329,7 @@
             fleet=self.fleet,
             load_table=self.loads,
             exposure_monitor=exposure_monitor,
+            share=share,
         )
         # Entries look at the head of a silent group; this one is up.
         monitor._check_head = self._check_head
@@ -343,8 +346,13 @@
             dialect=Dialect(pool=self.pool),
             load_table=self.loads,
             budget=budgets.RetryBudget(
-                env=env, ratio=0.0, slack=budget_slack, window_s=10.0
+                env=env,
+                share=share,
+                ratio=0.0,
+                slack=budget_slack,
+                window_s=10.0,
             ),
+            share=share,
             stall_watch=self.watch,
             observations=monitor,
             exposure_monitor=exposure_monitor,
@@ -365,7 +373,6 @@
                     'complete': False,
                     'applied_index': self._applied_index,
                     'table_version': 1,
-                    'entry_count': 1,
                     **fields,
                 }
             ),
