--- a/packages/gateway/src/apricotthread/gateway/attempts.py
+++ b/packages/gateway/src/apricotthread/gateway/attempts.py
@@ -6,6 +6,7 @@
 from apricotthread.control import routetables
 from apricotthread.endpoints import connections
 from apricotthread.fleet import view
+from apricotthread.gateway import budgets
 from apricotthread.gateway import exposures
 from apricotthread.gateway import groupmonitor
 from apricotthread.gateway import loads
@@ -54,8 +55,8 @@
     is_counted: bool = False
     # The endpoint that was given up for the reserved one.
     given_up: placement.Choice | None = None
-    # When a retry was taken from the budget that is not sent yet.
-    retry_taken_at: float | None = None
+    # A retry that was taken from the budget and is not sent yet.
+    unsent_retry: budgets.Retry | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -67,6 +68,7 @@
     pool: connections.ConnectionPool
     dialect: requests.Dialect
     loads: loads.LoadTable
+    budget: budgets.RetryBudget
     group_monitor: groupmonitor.GroupMonitor
     exposure_monitor: exposures.ExposureMonitor
 
@@ -128,6 +130,7 @@
                 last_event_id=self._last_event_id,
                 urgency=self._urgency,
             )
+            self._renew_retry(connection)
             connection.start(request_bytes)
         except connections.ConnectionLost as error:
             self.note_begun()
@@ -142,20 +145,26 @@
             endpoints.loads.end(replica.endpoint_id)
             raise
         self._connection = connection
-        self._record_retry_delay()
+        self._state.unsent_retry = None
         self._state.attempts += 1
         self._state.exposure = endpoints.exposure_monitor.begin(
             replica, request.caller.shared_parts
         )
         return connection
 
-    def _record_retry_delay(self) -> None:
-        """Record how long after it was counted a retry is sent."""
-        taken_at = self._state.retry_taken_at
-        self._state.retry_taken_at = None
-        if taken_at is not None:
-            env = self._endpoints.env
-            env.metrics.record_s('retry_delay', env.timer.now() - taken_at)
+    def _renew_retry(self, connection: connections.EndpointConnection) -> None:
+        """Raise AttemptFailure if a retry was held up and none is left."""
+        if self._state.unsent_retry is None:
+            return
+        self._state.unsent_retry = self._endpoints.budget.renew(
+            self._state.unsent_retry
+        )
+        if self._state.unsent_retry is None:
+            self._endpoints.pool.release(connection)
+            raise AttemptFailure(
+                reason='the retry was held up, and the budget is used up',
+                not_run=True,
+            )
 
     def note_begun(self) -> None:
         """Stop counting the request as deferred, as its answer has begun."""
--- a/packages/gateway/src/apricotthread/gateway/budgets.py
+++ b/packages/gateway/src/apricotthread/gateway/budgets.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import dataclasses
 
 from apricotthread.base import environment
 from apricotthread.base import logs
@@ -16,6 +17,17 @@
 # Leaves a margin, as entries do not see each other's retries as they happen.
 RETRY_SAFETY_FACTOR = 0.8
 LOG_PERIOD_S = 1.0
+# A retry that is sent later than this after it was counted is counted anew.
+# Opening a connection takes 0.4 s at most.
+RETRY_VALID_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Retry:
+    """A retry that was taken from the budget, and when."""
+
+    service: str
+    taken_at: float
 
 
 class RetryBudget:
@@ -80,8 +92,8 @@
             self._env.timer.now()
         )
 
-    def take(self, service: str) -> bool:
-        """Count a retry if the budget allows it; return whether it does."""
+    def take(self, service: str) -> Retry | None:
+        """Count and return a retry, None if the budget allows none."""
         request_times = self._drop_expired(
             self._request_times_by_service[service]
         )
@@ -93,11 +105,29 @@
         if len(retry_times) + 1 > allowed:
             self._refused_by_service[service] += 1
             self._env.metrics.count('retries_refused')
-            return False
-        retry_times.append(self._env.timer.now())
+            return None
+        retry = Retry(service=service, taken_at=self._env.timer.now())
+        retry_times.append(retry.taken_at)
         self._taken_by_service[service] += 1
         self._env.metrics.count('retries')
-        return True
+        return retry
+
+    def renew(self, retry: Retry) -> Retry | None:
+        """Return a retry that may be sent now, None if there is none.
+
+        One that was taken a while ago would reach its endpoint together with
+        later ones, so it is given back and another one is taken.
+        """
+        if self._env.timer.now() - retry.taken_at <= RETRY_VALID_S:
+            return retry
+        self.give_back(retry)
+        return self.take(retry.service)
+
+    def give_back(self, retry: Retry) -> None:
+        """Stop counting a retry that was not sent."""
+        retry_times = self._retry_times_by_service[retry.service]
+        if retry.taken_at in retry_times:
+            retry_times.remove(retry.taken_at)
 
     def _drop_expired(
         self, times: collections.deque[float]
--- a/packages/gateway/src/apricotthread/gateway/forwarder.py
+++ b/packages/gateway/src/apricotthread/gateway/forwarder.py
@@ -102,6 +102,7 @@
             pool=pool,
             dialect=dialect,
             loads=load_table,
+            budget=budget,
             group_monitor=observations,
             exposure_monitor=exposure_monitor,
         )
@@ -145,6 +146,8 @@
         finally:
             if state.reserved is not None:
                 self._loads.end(state.reserved.candidate.replica.endpoint_id)
+            if state.unsent_retry is not None:
+                self._budget.give_back(state.unsent_retry)
 
     # Attempts
 
@@ -312,11 +315,18 @@
     def _take_retry(
         self, request: requests.RoutedRequest, state: attempts.AttemptState
     ) -> str:
-        """Take a retry from the budget; return why not, empty if taken."""
-        if self._budget.take(request.service.name):
-            state.retry_taken_at = self._env.timer.now()
-            return ''
-        return 'the retry budget is used up'
+        """Take a retry from the budget; return why not, empty if taken.
+
+        One that was taken before and not sent, as the endpoint refused the
+        connection, is used.
+        """
+        if state.unsent_retry is not None:
+            state.unsent_retry = self._budget.renew(state.unsent_retry)
+        else:
+            state.unsent_retry = self._budget.take(request.service.name)
+        if state.unsent_retry is None:
+            return 'the retry budget is used up'
+        return ''
 
     def _reserve_retry(
         self,
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -102,8 +102,8 @@
         self.has_ended = True
 
 
-def make_request(env, route=ROUTE):
-    """Return a request that has one second left."""
+def make_request(env, route=ROUTE, time_left_s=1.0):
+    """Return a request that has one second left, or as long as is given."""
     now = env.timer.now()
     return requests.RoutedRequest(
         caller=CALLER,
@@ -111,15 +111,18 @@
         route=route,
         service=SERVICE,
         account='',
-        deadline=now + 1.0,
+        deadline=now + time_left_s,
         received_at=now,
     )
 
 
-def make_forwarder(env, pool, addresses, *, answered_id='r-1', not_run=False):
+def make_forwarder(
+    env, pool, addresses, *, answered_id='r-1', not_run=False, slack=100.0
+):
     """Return a forwarder to workers at these addresses.
 
-    Their answers name `answered_id` as their request.
+    Their answers name `answered_id` as their request. `slack` is that of the
+    retry budget.
     """
     replicas = [
         view.Replica(
@@ -157,8 +160,8 @@
         budget=budgets.RetryBudget(
             env=env,
             share=fixedshares.FixedShare(),
-            ratio=1.0,
-            slack=100.0,
+            ratio=0.0,
+            slack=slack,
             window_s=10.0,
         ),
         share=fixedshares.FixedShare(),
@@ -384,3 +387,65 @@
         assert raised.value.code.http_status == 502
 
     virtualclock.run(main())
+
+
+ONE_RETRY = 1.0 / budgets.RETRY_SAFETY_FACTOR
+
+
+def test_a_retry_that_is_sent_late_counts_when_it_is_sent(env):
+    """An entry that is paused before it sends makes retries arrive late."""
+    sent_at = []
+
+    class SlowPool(Pool):
+        async def acquire(self, address, *, must_be_fresh):
+            if len(self.ran_at_addresses) == 1:
+                await env.timer.sleep(9.0)
+            connection = await super().acquire(
+                address, must_be_fresh=must_be_fresh
+            )
+            sent_at.append(env.timer.now())
+            return connection
+
+    async def main():
+        pool = SlowPool(dead=[])
+        forward = make_forwarder(
+            env, pool, ['w-0', 'w-1', 'w-2'], slack=ONE_RETRY
+        )
+
+        async def play():
+            with contextlib.suppress(errors.ApricotError):
+                await forward.forward(
+                    make_request(env, time_left_s=20.0),
+                    Sink(),
+                    requesttrace.RequestTrace(env=env, request_id='r-1'),
+                )
+
+        await play()
+        assert sent_at == [0.0, 9.0]
+        await env.timer.sleep(1.5)
+        await play()
+        assert len(pool.ran_at_addresses) == 3
+        await env.timer.sleep(9.0)
+        await play()
+        assert len(pool.ran_at_addresses) == 5
+
+    virtualclock.run(main())
+
+
+def test_a_retry_that_was_not_sent_is_given_back(env):
+    async def main():
+        pool = Pool(dead=['w-1', 'w-2'])
+        forward = make_forwarder(
+            env, pool, ['w-0', 'w-1', 'w-2'], slack=ONE_RETRY
+        )
+        for _ in range(2):
+            with contextlib.suppress(errors.ApricotError):
+                await forward.forward(
+                    make_request(env),
+                    Sink(),
+                    requesttrace.RequestTrace(env=env, request_id='r-1'),
+                )
+        assert pool.ran_at_addresses == ['w-0', 'w-0']
+        assert forward._budget.take(SERVICE.name)
+
+    virtualclock.run(main())
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -221,7 +221,7 @@
                 entry.note_request('models')
         for entry in entries:
             for _ in range(200):
-                retries += entry.take('models')
+                retries += entry.take('models') is not None
         assert 100 < retries <= 0.2 * 700 + 130
         await env.timer.sleep(11.0)
         assert entries[0].take('models')
