--- a/packages/gateway/src/apricotthread/gateway/attempts.py
+++ b/packages/gateway/src/apricotthread/gateway/attempts.py
@@ -41,6 +41,8 @@
     """The attempts at one request so far."""
 
     attempts: int = 0
+    # Whether the request has been sent to any endpoint.
+    was_sent: bool = False
     may_have_run: bool = False
     tried_endpoint_ids: set[str] = dataclasses.field(default_factory=set)
     last_endpoint_id: str = ''
@@ -146,6 +148,7 @@
             raise
         self._connection = connection
         self._state.unsent_retry = None
+        self._state.was_sent = True
         self._state.attempts += 1
         self._state.exposure = endpoints.exposure_monitor.begin(
             replica, request.caller.shared_parts
--- a/packages/gateway/src/apricotthread/gateway/forwarder.py
+++ b/packages/gateway/src/apricotthread/gateway/forwarder.py
@@ -318,8 +318,10 @@
         """Take a retry from the budget; return why not, empty if taken.
 
         One that was taken before and not sent, as the endpoint refused the
-        connection, is used.
+        connection, is used. A request that was sent nowhere needs none.
         """
+        if not state.was_sent:
+            return ''
         if state.unsent_retry is not None:
             state.unsent_retry = self._budget.renew(state.unsent_retry)
         else:
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -449,3 +449,18 @@
         assert forward._budget.take(SERVICE.name)
 
     virtualclock.run(main())
+
+
+def test_endpoints_that_refuse_connections_use_up_no_retries(env):
+    async def main():
+        pool = Pool(dead=['w-0', 'w-1'])
+        forward = make_forwarder(env, pool, ['w-0', 'w-1', 'w-2'], slack=0.0)
+        sink = Sink()
+        await forward.forward(
+            make_request(env),
+            sink,
+            requesttrace.RequestTrace(env=env, request_id='r-1'),
+        )
+        assert pool.ran_at_addresses == ['w-2']
+
+    virtualclock.run(main())
