--- a/soak/backends.py
+++ b/soak/backends.py
@@ -47,6 +47,8 @@
         self.worker_by_name: dict[str, 'Backend'] = {}
         self._ready_memberships: set[tuple] = set()
         self.taken_out_at_by_data_centre: dict[str, float] = {}
+        # The share of the requests that workers break off at present.
+        self.broken_share = 0.0
 
     def record_ready(self, vm: str, order: platformstandin.Order) -> None:
         """Record that a VM was ready in the group of an order.
@@ -179,6 +181,15 @@
         self._proxy.close()
 
     async def _answer(self, target, headers, body, writer):
+        if 'attempt-id' in headers:
+            observations = self._worker_monitor.observations
+            observations.arrivals.append(
+                record.Arrival(
+                    attempt_id=self.get_attempt_id(headers),
+                    service=self.service,
+                    at_s=observations.now_s(),
+                )
+            )
         if self.fault is schedule.Kind.WORKER_SILENT:
             await asyncio.sleep(3600)
         await super()._answer(target, headers, body, writer)
@@ -253,6 +264,9 @@
         self._worker_monitor.record_run(
             self, self.get_attempt_id(headers), violation
         )
+        if self._generator.random() < self._worker_monitor.broken_share:
+            writer.transport.abort()
+            return
         match self.fault:
             case schedule.Kind.WORKER_LATE:
                 await asyncio.sleep(LATE_ANSWER_DELAY_S)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -133,6 +133,7 @@
         self._request_count += 1
         attempt_id = f'{self._name}-{self._request_count}'
         began_s = self._observations.now_s()
+        self._observations.note_sent(kind)
         outcome, status, violation = await self._post_and_check(
             session, kind, attempt_id
         )
@@ -222,6 +223,7 @@
             entry = generator.choice(balancer.ready_entries)
             attempt_id = f'guilty-{number}'
             observations.entry_by_guilty_attempt[attempt_id] = entry
+            observations.note_sent(record.CallKind.STREAM)
             group.create_task(
                 _send_guilty(session, url_by_entry[entry], attempt_id)
             )
@@ -275,11 +277,12 @@
             )
             for entry in balancer.ready_entries if expected else ():
                 asked_s = observations.now_s()
+                observations.note_sent(record.CallKind.READ)
                 try:
                     async with session.get(
                         f'{url_by_entry[entry]}/version-{expected}/x',
                         headers=platformstandin.make_caller_headers(
-                            'probe', budget_s=1.0
+                            f'probe-{entry}-{asked_s:.3f}', budget_s=1.0
                         ),
                     ) as answer:
                         status = answer.status
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,6 +6,7 @@
 
 import collections
 
+from apricotthread.base import settings
 from soak import record
 from soak import schedule
 
@@ -28,6 +29,10 @@
 GRACE_CRASHES = 5
 CONTACT_S = 3.0
 MAX_LATE_GUILTY = 3
+# The nodes are started with the default bound on retries.
+RETRY_RATIO = settings.Discovery.retry_ratio
+RETRY_SLACK = settings.Discovery.retry_slack
+RETRY_WINDOW_S = settings.Discovery.retry_window_s
 
 
 def check_answers(observations: record.Observations) -> list[str]:
@@ -203,6 +208,42 @@
     return [f'{whole_count} of {len(streams)} sound streams served']
 
 
+def check_repeats(observations: record.Observations) -> list[str]:
+    """Check that in every window requests reach workers again but rarely.
+
+    All entries together may repeat RETRY_RATIO of the requests for a service,
+    of the window, or of the one before it or half a window before it, plus
+    RETRY_SLACK.
+    """
+    sent_by_service = collections.defaultdict(list)
+    for request in observations.sent:
+        sent_by_service[request.service].append(request.at_s)
+    repeats_by_service = collections.defaultdict(list)
+    known_ids = set()
+    for arrival in observations.arrivals:
+        if arrival.attempt_id in known_ids:
+            repeats_by_service[arrival.service].append(arrival.at_s)
+        known_ids.add(arrival.attempt_id)
+    violations = []
+    for service, repeats in repeats_by_service.items():
+        for start_s in repeats:
+            count = _count_in_window(repeats, start_s)
+            requests = max(
+                _count_in_window(sent_by_service[service], start_s - earlier_s)
+                for earlier_s in (0.0, RETRY_WINDOW_S / 2, RETRY_WINDOW_S)
+            )
+            if count > RETRY_RATIO * requests + RETRY_SLACK:
+                violations.append(
+                    f'{service}: {count} repeats within {RETRY_WINDOW_S} s '
+                    f'from {start_s:.1f} s, for {requests} requests'
+                )
+    return violations
+
+
+def _count_in_window(times_s: list[float], start_s: float) -> int:
+    return sum(start_s <= at_s < start_s + RETRY_WINDOW_S for at_s in times_s)
+
+
 def check_taken_out(observations: record.Observations) -> list[str]:
     """Check that a taken-out data centre gets no new requests."""
     return observations.runs_after_take_out
@@ -252,6 +293,7 @@
         'served again': check_recovery(observations, plan),
         'guilty prompts kept away': check_guilty_prompts(observations, plan),
         'sound prompts served': check_sound_prompts(observations, plan),
+        'repeats within the bound': check_repeats(observations),
         'taken out': check_taken_out(observations),
         'no exits': check_exits(observations),
     }
--- a/soak/play.py
+++ b/soak/play.py
@@ -20,6 +20,7 @@
 EVENTS_PER_STREAM = 12
 START_TIMEOUT_S = 40.0
 LINK_DELAY_S = 0.15
+BROKEN_SHARE = 0.7  # of the answers, while answers break
 CLOCK_STEP_S = 2400.0  # operators have seen clocks wrong by 40 minutes
 PROBE_PERIOD_S = 0.5
 
@@ -172,6 +173,8 @@
         self._observations.started_at += offset_s
         self._observations.attempts.clear()
         self._observations.runs.clear()
+        self._observations.sent.clear()
+        self._observations.arrivals.clear()
         self._observations.acknowledged_tables[:] = [
             record.AcknowledgedTable(
                 version=ack.version, at_s=ack.at_s - offset_s
@@ -294,7 +297,13 @@
         await self._deployment.start_node_process(name, first=False)
 
     async def _inject_worker_fault(self, fault: schedule.Fault) -> None:
-        worker = self._deployment.worker_monitor.worker_by_name[fault.target]
+        worker_monitor = self._deployment.worker_monitor
+        if fault.kind is schedule.Kind.ANSWERS_BREAK:
+            worker_monitor.broken_share = BROKEN_SHARE
+            await asyncio.sleep(fault.duration_s)
+            worker_monitor.broken_share = 0.0
+            return
+        worker = worker_monitor.worker_by_name[fault.target]
         if fault.kind is schedule.Kind.WORKER_DIES:
             if worker.is_up:
                 await worker.crash_and_restart(fault.duration_s)
--- a/soak/record.py
+++ b/soak/record.py
@@ -32,6 +32,12 @@
     READ = 'read'
 
 
+# The service of the endpoints that serve each kind.
+SERVICE_BY_KIND = {
+    CallKind.STREAM: 'models',
+    CallKind.BID: 'bids',
+    CallKind.READ: 'bids',
+}
 # How long callers wait for an answer, by the users' requirements.
 TIME_BUDGET_S_BY_KIND = {
     CallKind.STREAM: 5.0,
@@ -66,6 +72,23 @@
     violation: str = ''
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Sent:
+    """A request that a caller sent, for a service."""
+
+    service: str
+    at_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Arrival:
+    """A request that reached a worker, whatever became of it."""
+
+    attempt_id: str
+    service: str
+    at_s: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class GuiltyRun:
     """A request that a worker got, and ended under unless it had just."""
@@ -113,6 +136,8 @@
     started_at: float = dataclasses.field(default_factory=time.monotonic)
     attempts: list[Attempt] = dataclasses.field(default_factory=list)
     runs: list[Run] = dataclasses.field(default_factory=list)
+    sent: list[Sent] = dataclasses.field(default_factory=list)
+    arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     acknowledged_tables: list[AcknowledgedTable] = dataclasses.field(
         default_factory=list
     )
@@ -131,6 +156,12 @@
     # that could not be read at the end.
     exits: list[str] = dataclasses.field(default_factory=list)
 
+    def note_sent(self, kind: CallKind) -> None:
+        """Record that a caller sends a request now."""
+        self.sent.append(
+            Sent(service=SERVICE_BY_KIND[kind], at_s=self.now_s())
+        )
+
     def now_s(self) -> float:
         """Return the seconds since the start."""
         return time.monotonic() - self.started_at
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -20,6 +20,9 @@
 # Prompts that crash workers come in this share of the runs, for so long.
 CRASHING_SHARE = 0.5
 CRASHING_PROMPTS_S = 7.0
+# Answers of all workers break off in this share of the runs, until the storm
+# ends.
+BREAKING_SHARE = 0.5
 
 
 class Kind(enum.Enum):
@@ -31,7 +34,8 @@
     answer to a request. A dripping worker sends a byte of its answer now and
     then, an endless one sends bytes until its connection is closed. A worker
     that pauses is sound; it pauses during planned work only. Prompts that
-    crash have a part that ends each worker that begins to answer it.
+    crash have a part that ends each worker that begins to answer it. While
+    answers break, all workers break off most of them.
     """
 
     LINK_DELAY = 'link_delay'
@@ -62,6 +66,7 @@
     WORKER_ENDLESS = 'worker_endless'
     WORKER_PAUSES = 'worker_pauses'
     PROMPTS_CRASH = 'prompts_crash'
+    ANSWERS_BREAK = 'answers_break'
 
 
 # Planned work, which has to cut no answer.
@@ -92,6 +97,7 @@
         Kind.WORKER_DRIPS,
         Kind.WORKER_ENDLESS,
         Kind.WORKER_PAUSES,
+        Kind.ANSWERS_BREAK,
     }
 )
 # Drawn apart from the others, so that the faults of older seeds stay.
@@ -99,7 +105,13 @@
 MIXED_KINDS = tuple(
     kind
     for kind in Kind
-    if kind not in (*UNENDING_KINDS, Kind.WORKER_PAUSES, Kind.PROMPTS_CRASH)
+    if kind
+    not in (
+        *UNENDING_KINDS,
+        Kind.WORKER_PAUSES,
+        Kind.PROMPTS_CRASH,
+        Kind.ANSWERS_BREAK,
+    )
 )
 OPERATOR_KINDS = frozenset(
     {Kind.TABLES_IN_SUCCESSION, Kind.TABLES_RACED, Kind.DATA_CENTRE_OUT}
@@ -176,6 +188,7 @@
             )
     faults.extend(_make_unending(seed, storm_s, topology))
     faults.extend(_make_crashing_prompts(seed, storm_s))
+    faults.extend(_make_breaking_answers(seed, storm_s))
     planned_from_s = storm_s + RECOVERY_S
     for number, kind in enumerate(
         generator.sample(PLANNED_KINDS, len(PLANNED_KINDS))
@@ -266,6 +279,22 @@
     ]
 
 
+def _make_breaking_answers(seed: int, storm_s: float) -> list[Fault]:
+    """Return the time in which workers break off most answers."""
+    generator = random.Random(f'{seed} breaking answers')
+    if generator.random() > BREAKING_SHARE:
+        return []
+    at_s = generator.uniform(FIRST_FAULT_S, max(FIRST_FAULT_S, storm_s / 3))
+    return [
+        Fault(
+            at_s=round(at_s, 3),
+            duration_s=round(storm_s - at_s, 3),
+            kind=Kind.ANSWERS_BREAK,
+            target='',
+        )
+    ]
+
+
 def _make_pauses(
     seed: int, planned_from_s: float, topology: Topology
 ) -> list[Fault]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -258,6 +258,23 @@
     assert find_broken_promises(observations, plan) == {'sound prompts served'}
 
 
+def test_repeats_beyond_the_bound_of_all_entries_are_found(observations, plan):
+    allowed = int(checks.RETRY_RATIO * 100 + checks.RETRY_SLACK)
+    for number in range(100):
+        observations.note_sent(record.CallKind.STREAM)
+        observations.arrivals.extend(
+            record.Arrival(attempt_id=f'r-{number}', service='models', at_s=at)
+            for at in ([1.0, 9.0] if number < allowed else [1.0])
+        )
+    assert find_broken_promises(observations, plan) == set()
+    observations.arrivals.append(
+        record.Arrival(attempt_id='r-99', service='models', at_s=9.5)
+    )
+    assert find_broken_promises(observations, plan) == {
+        'repeats within the bound'
+    }
+
+
 def test_an_unexpected_exit_of_a_node_is_found(observations, plan):
     observations.exits.append('entry-1 ended with status 1')
     assert find_broken_promises(observations, plan) == {'no exits'}
