--- a/packages/callers/src/apricotthread/callers/bodies.py
+++ b/packages/callers/src/apricotthread/callers/bodies.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from apricotthread.base import decoding
 from apricotthread.base import errors
 
 DEFAULT_MAX_TOKENS = 256
@@ -98,7 +99,7 @@
         return msgspec.json.decode(
             body, type=ChatBody if chat else CompletionBody
         )
-    except (msgspec.DecodeError, UnicodeError) as error:
+    except decoding.DECODE_ERRORS as error:
         raise errors.ApricotError(
             code=errors.ErrorCode.BAD_REQUEST, message=f'body: {error}'
         ) from error
--- a/packages/endpoints/src/apricotthread/endpoints/announcements.py
+++ b/packages/endpoints/src/apricotthread/endpoints/announcements.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from apricotthread.base import decoding
+
 
 class Announcement(msgspec.Struct, frozen=True, kw_only=True):
     """The state of one endpoint VM, sent about once a second.
@@ -13,26 +15,26 @@
     """
 
     endpoint_id: str
-    incarnation: int
-    sequence: int
+    incarnation: decoding.Ordinal
+    sequence: decoding.Ordinal
     data_centre: str
     url: str
     kind: typing.Literal['engine', 'plain']
     service: str = ''
     fabric_domain: str = ''
-    accelerators: int = 0
+    accelerators: decoding.Count = 0
     checks_fencing: bool = True
-    max_requests: int = 1
-    bear_requests: int = 1
-    memory_bytes: int = 0
-    bytes_per_token: int = 1
-    used_bytes: int = 0
-    running: int = 0
+    max_requests: decoding.Count = 1
+    bear_requests: decoding.Count = 1
+    memory_bytes: decoding.Ordinal = 0
+    bytes_per_token: decoding.Ordinal = 1
+    used_bytes: decoding.Ordinal = 0
+    running: decoding.Count = 0
     cold: bool = False
     leaving: bool = False
     member_state: typing.Literal['idle', 'loading', 'ready'] = 'idle'
     group_id: str = ''
-    fencing: int = 0
+    fencing: decoding.Ordinal = 0
     cached_prefixes: list[str] = []
 
 
--- a/packages/endpoints/src/apricotthread/endpoints/application.py
+++ b/packages/endpoints/src/apricotthread/endpoints/application.py
@@ -9,6 +9,7 @@
 from starlette import routing
 
 from apricotthread.base import bodies
+from apricotthread.base import decoding
 from apricotthread.base import errors
 from apricotthread.endpoints import announcements
 from apricotthread.endpoints import registry
@@ -34,7 +35,7 @@
             return _make_refusal(error.message, error.code.http_status)
         try:
             announcement = decoder.decode(body)
-        except msgspec.DecodeError as error:
+        except decoding.DECODE_ERRORS as error:
             return _make_refusal(str(error), 400)
         if not endpoints.announce(announcement).accepted:
             return _make_refusal('an older announcement came late', 409)
--- a/packages/endpoints/src/apricotthread/endpoints/client.py
+++ b/packages/endpoints/src/apricotthread/endpoints/client.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from apricotthread.base import decoding
 from apricotthread.base import environment
 from apricotthread.base import errors
 from apricotthread.base import units
@@ -229,7 +230,7 @@
                 timeout_s=timeout_s,
             )
             return _ORDER_ANSWER_DECODER.decode(body)
-        except (errors.ApricotError, msgspec.DecodeError) as error:
+        except (errors.ApricotError, *decoding.DECODE_ERRORS) as error:
             return announcements.OrderAnswer(
                 confirmed=False, fencing=0, reason=str(error)
             )
@@ -381,7 +382,7 @@
     except (
         connections.ConnectionLost,
         TimeoutError,
-        msgspec.DecodeError,
+        *decoding.DECODE_ERRORS,
     ) as error:
         sent = getattr(error, 'sent', True)
         raise errors.ApricotError(
--- a/packages/endpoints/src/apricotthread/endpoints/connections.py
+++ b/packages/endpoints/src/apricotthread/endpoints/connections.py
@@ -307,7 +307,7 @@
                 host,
                 int(port),
             )
-    except (OSError, TimeoutError, ValueError) as error:
+    except (OSError, TimeoutError, ValueError, OverflowError) as error:
         raise ConnectionLost(
             reason=f'no connection: {type(error).__name__}', sent=False
         ) from error
--- a/packages/operators/src/apricotthread/operators/application.py
+++ b/packages/operators/src/apricotthread/operators/application.py
@@ -7,6 +7,7 @@
 from starlette import routing
 
 from apricotthread.base import bodies as base_bodies
+from apricotthread.base import decoding
 from apricotthread.base import environment
 from apricotthread.base import errors
 from apricotthread.base import logs
@@ -268,7 +269,7 @@
     raw = await base_bodies.read_limited(request.stream(), MAX_BODY_BYTES)
     try:
         return msgspec.json.decode(raw, type=body_type)
-    except msgspec.DecodeError as error:
+    except decoding.DECODE_ERRORS as error:
         raise errors.ApricotError(
             code=errors.ErrorCode.BAD_REQUEST, message=f'body: {error}'
         ) from error
--- a/soak/backends.py
+++ b/soak/backends.py
@@ -181,7 +181,7 @@
         self._proxy.close()
 
     async def _answer(self, target, headers, body, writer):
-        if 'attempt-id' in headers:
+        if target not in platformstandin.CONTROL_PATHS:
             observations = self._worker_monitor.observations
             observations.arrivals.append(
                 record.Arrival(
