--- a/packages/gateway/src/apricotthread/gateway/events.py
+++ b/packages/gateway/src/apricotthread/gateway/events.py
@@ -51,7 +51,15 @@
             raise BrokenStream('an event is longer than the limit')
         if not complete_end:
             return b''
-        complete = data[:complete_end]
+        known = self.last_id, self._has_last_id
+        try:
+            return self._select_new(data[:complete_end])
+        except BrokenStream:
+            # None of these events is returned, so they are still to come.
+            self.last_id, self._has_last_id = known
+            raise
+
+    def _select_new(self, complete: bytes) -> bytes:
         if complete.count(SEPARATOR) == 1:
             return complete if self._is_new(complete) else b''
         events = complete.split(SEPARATOR)[:-1]
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -25,6 +25,16 @@
     return b'id: %d\ndata: piece %d\n\n' % (number, number)
 
 
+def test_an_event_that_comes_with_a_gap_is_asked_for_again():
+    splitter = events.EventSplitter(last_id=0)
+    splitter.feed(make_event(1))
+    with pytest.raises(events.BrokenStream):
+        splitter.feed(make_event(2) + make_event(4))
+    splitter.restart()
+    assert splitter.last_id == 1
+    assert splitter.feed(make_event(2)) == make_event(2)
+
+
 # Event streams
 
 
