--- a/packages/gateway/src/apricotthread/gateway/events.py
+++ b/packages/gateway/src/apricotthread/gateway/events.py
@@ -3,6 +3,9 @@
 SEPARATOR = b'\n\n'
 ID_FIELD = b'id:'
 DATA_FIELD = b'data:'
+COMMENT_FIELD = b':'
+# By the HTML standard.
+FIELDS = (ID_FIELD, DATA_FIELD, b'event:', b'retry:', COMMENT_FIELD)
 MAX_EVENT_BYTES = 64 * 1024  # a few hundred bytes are usual
 
 
@@ -19,17 +22,24 @@
     """Returns each complete event of a stream once, in order of ids.
 
     After a stream was resumed at another endpoint, events that were
-    returned before are dropped, and a gap in the ids is an error.
+    returned before are dropped, and a gap in the ids is an error. So is
+    anything else before the next id: the endpoint may have answered with the
+    text of an error.
     """
 
     def __init__(self, *, last_id: int) -> None:
         self.last_id = last_id
         self._has_last_id = last_id > 0
         self._incomplete = b''
+        self._is_resumed = False
+        # Whether the present endpoint has gone on where the last one ended.
+        self._has_gone_on = False
 
     def restart(self) -> None:
         """Drop an incomplete event, before the stream is resumed elsewhere."""
         self._incomplete = b''
+        self._is_resumed = self._has_last_id
+        self._has_gone_on = False
 
     @property
     def is_between_events(self) -> bool:
@@ -39,8 +49,9 @@
     def feed(self, data: bytes) -> bytes:
         """Return the new complete events, joined; buffer an incomplete one.
 
-        Raises BrokenStream if an id is not a number or leaves a gap, or
-        if an event is longer than MAX_EVENT_BYTES.
+        Raises BrokenStream if an id is not a number or leaves a gap, if an
+        event is longer than MAX_EVENT_BYTES, or if an endpoint at which the
+        stream was resumed sends what does not go on with it.
         """
         data = self._incomplete + data
         complete_end = data.rfind(SEPARATOR) + len(SEPARATOR)
@@ -72,9 +83,14 @@
 
         An event without an id is always new.
         """
+        if self._is_resumed:
+            self._check_fields(event)
         start = event.find(ID_FIELD)
         if start < 0 or (start > 0 and event[start - 1 : start] != b'\n'):
+            if self._is_resumed and not self._has_gone_on:
+                self._check_is_comment(event)
             return True
+        self._has_gone_on = True
         line_end = event.find(b'\n', start)
         text = event[
             start + len(ID_FIELD) : line_end if line_end > 0 else None
@@ -94,3 +110,16 @@
         self._has_last_id = True
         self.last_id = event_id
         return True
+
+    def _check_fields(self, event: bytes) -> None:
+        for line in event.split(b'\n'):
+            if line and not line.startswith(FIELDS):
+                raise BrokenStream(f'{line[:40]!r} is no field of an event')
+
+    def _check_is_comment(self, event: bytes) -> None:
+        for line in event.split(b'\n'):
+            if line and not line.startswith(COMMENT_FIELD):
+                raise BrokenStream(
+                    f'{line[:40]!r} comes where event {self.last_id + 1} '
+                    'should'
+                )
