--- a/bench/proofs.py
+++ b/bench/proofs.py
@@ -599,6 +599,118 @@
         test='tests/test_quarantine.py::test_short_prompts_whose_answers_are_'
         'whole_before_the_crash_are_kept_away',
     ),
+    Removal(
+        mechanism='an entry waits until its past has left the window',
+        module='fleet/shares.py',
+        code='or now - self._held_since < LEASE_S + window_s',
+        instead='',
+        test='tests/test_shares.py::test_an_entry_that_was_killed_waits_'
+        'until_its_past_has_left_the_window',
+    ),
+    Removal(
+        mechanism='a lease on a share ends',
+        module='fleet/shares.py',
+        code='return self._env.timer.now() < self._expires_at',
+        instead='return self._entries > 0',
+        test='tests/test_shares.py::test_an_entry_that_was_paused_has_no_'
+        'share_when_it_wakes',
+    ),
+    Removal(
+        mechanism='an entry that is gone is counted for a window',
+        module='fleet/shares.py',
+        code='if now - holder.heard_at > self._kept_s:',
+        instead='if now - holder.heard_at > LEASE_S:',
+        test='tests/test_shares.py::test_the_share_of_an_entry_that_is_gone_'
+        'is_free_after_its_window',
+    ),
+    Removal(
+        mechanism='a new leader keeps to the shares that entries hold',
+        module='fleet/shares.py',
+        code='max(self._claimed_entries, claim.entries)',
+        instead='0',
+        test='tests/test_shares.py::test_a_new_leader_leaves_entries_the_'
+        'shares_that_they_hold',
+    ),
+    Removal(
+        mechanism='a claim is accepted while old leases may last',
+        module='fleet/shares.py',
+        code='if is_held and now - self._leader_since < LEASE_S:',
+        instead='if is_held:',
+        test='tests/test_shares.py::test_a_claim_that_comes_after_all_old_'
+        'leases_is_not_accepted',
+    ),
+    Removal(
+        mechanism='an entry that has just joined is counted anew',
+        module='fleet/shares.py',
+        code='claim.entries > 0 and claim.held_s >= self._kept_s',
+        instead='claim.entries > 0',
+        test='tests/test_shares.py::test_an_entry_that_joined_shortly_before_'
+        'a_new_leader_waits_anew',
+    ),
+    Removal(
+        mechanism='slack for retries needs a lease',
+        module='gateway/budgets.py',
+        code='+ self._slack * self._share.fraction(self._window_s)',
+        instead='+ self._slack / max(1, self._share.entries)',
+        test='tests/test_retry_bound.py::test_all_entries_together_never_'
+        'repeat_beyond_the_bound[entries_killed_together]',
+    ),
+    Removal(
+        mechanism='the allowance for cold endpoints needs a lease',
+        module='gateway/selection.py',
+        code='share=self._share.fraction(loads.COLD_WINDOW_S),',
+        instead='share=1 / max(1, self._share.entries),',
+        test='tests/test_retry_bound.py::test_cold_endpoints_never_get_more_'
+        'than_they_bear[entries_killed_together]',
+    ),
+    Removal(
+        mechanism='a retry that is sent late is counted anew',
+        module='gateway/budgets.py',
+        code='if self._env.timer.now() - retry.taken_at <= RETRY_VALID_S:',
+        instead='if retry:',
+        test='tests/test_forwarder.py::test_a_retry_that_is_sent_late_counts_'
+        'when_it_is_sent',
+    ),
+    Removal(
+        mechanism='a retry that is not sent is given back',
+        module='gateway/forwarder.py',
+        code='self._budget.give_back(state.unsent_retry)',
+        instead='pass',
+        test='tests/test_forwarder.py::test_a_retry_that_was_not_sent_is_'
+        'given_back',
+    ),
+    Removal(
+        mechanism='a request that was sent nowhere needs no retry',
+        module='gateway/forwarder.py',
+        code='if not state.was_sent:',
+        instead='if False:',
+        test='tests/test_forwarder.py::test_endpoints_that_refuse_connections_'
+        'use_up_no_retries',
+    ),
+    Removal(
+        mechanism='numbers in announcements have bounds',
+        module='base/decoding.py',
+        code='msgspec.Meta(ge=0, le=MAX_INTEGER)',
+        instead='msgspec.Meta()',
+        test='tests/test_odd_announcements.py::test_odd_heartbeats_end_no_'
+        'node_and_stop_none_from_following',
+    ),
+    Removal(
+        mechanism='a resumed stream goes on with the next id',
+        module='gateway/events.py',
+        code='self._is_resumed = self._has_last_id',
+        instead='self._is_resumed = False',
+        test='tests/test_errors_after_broken_streams.py::test_an_error_after_'
+        'a_broken_stream_is_no_part_of_it[error event in the stream]',
+    ),
+    Removal(
+        mechanism='a refusal names the request that was not run',
+        module='gateway/forwarder.py',
+        code='if metadata.request_id != request.caller.request_id:',
+        instead='if not metadata.not_run and not metadata.request_id:',
+        test='tests/test_repeated_refusals.py::test_a_refusal_that_comes_'
+        'again_is_not_that_of_the_next_request[/bids/1]',
+    ),
 )
 
 
--- a/tests/test_errors_after_broken_streams.py
+++ b/tests/test_errors_after_broken_streams.py
@@ -117,6 +117,12 @@
     env = environment.make_environment()
     attempts = 0
 
+    async def accept(reader, writer):
+        try:
+            await answer(reader, writer)
+        finally:
+            writer.close()
+
     async def answer(reader, writer):
         nonlocal attempts
         attempts += 1
@@ -135,10 +141,9 @@
         with contextlib.suppress(ConnectionError):
             await writer.drain()
         await asyncio.sleep(0.02)
-        writer.close()
 
     listening = [
-        await asyncio.start_server(answer, '127.0.0.1', 0) for _ in range(4)
+        await asyncio.start_server(accept, '127.0.0.1', 0) for _ in range(4)
     ]
     addresses = [
         '%s:%d' % listener.sockets[0].getsockname() for listener in listening
