--- a/packages/routing/src/apricotthread/routing/retries.py
+++ b/packages/routing/src/apricotthread/routing/retries.py
@@ -1,5 +1,6 @@
 """A retry budget, so that retries do not amplify an overload."""
 
+import collections
 import collections.abc
 import contextlib
 
@@ -18,27 +19,27 @@
     """Limits the retries of each service to a tenth of its requests.
 
     Each request earns a fraction of a retry, and each retry spends one.
-    A service saves up at most MAX_SAVED_RETRIES, and starts with these.
+    A service saves up at most MAX_SAVED_RETRIES. It starts with none: a node
+    that has just started may have spent them before.
     """
 
     def __init__(self, *, env: environment.Environment) -> None:
         self._env = env
-        self._saved_retries_by_service: dict[str, float] = {}
+        self._saved_retries_by_service = collections.defaultdict(float)
 
     def earn(self, service: str) -> None:
         """Credit the budget for the first attempt of a request."""
-        saved = self._saved_retries_by_service.get(service, MAX_SAVED_RETRIES)
         self._saved_retries_by_service[service] = min(
-            MAX_SAVED_RETRIES, saved + RETRIES_PER_REQUEST
+            MAX_SAVED_RETRIES,
+            self._saved_retries_by_service[service] + RETRIES_PER_REQUEST,
         )
 
     def spend(self, service: str) -> bool:
         """Take one retry from the budget; return False if none is left."""
-        saved = self._saved_retries_by_service.get(service, MAX_SAVED_RETRIES)
-        if saved < 1.0:
+        if self._saved_retries_by_service[service] < 1.0:
             self._env.metrics.count('retries_refused')
             return False
-        self._saved_retries_by_service[service] = saved - 1.0
+        self._saved_retries_by_service[service] -= 1.0
         self._env.metrics.count('retries')
         return True
 
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -262,6 +262,16 @@
     assert granted <= 1000 * 0.1 + retries.MAX_SAVED_RETRIES + 1
 
 
+def test_a_node_that_restarts_again_and_again_earns_its_retries(env):
+    granted = 0
+    for _ in range(20):
+        budget = retries.RetryBudget(env=env)
+        for _ in range(50):
+            budget.earn('s')
+            granted += budget.spend('s')
+    assert granted <= 20 * 50 * 0.1 + retries.MAX_SAVED_RETRIES
+
+
 @hypothesis.given(data=strategies.data())
 def test_duplicate_pieces_are_dropped_and_gaps_are_errors(data):
     """The text equals the joined words, whatever pieces are repeated."""
