--- a/tests/test_fleet_streams.py
+++ b/tests/test_fleet_streams.py
@@ -9,7 +9,9 @@
 import aiohttp
 import pytest
 
+from apricotthread.base import settings
 from apricotthread.fakes import childprocesses
+from apricotthread.fleet import shares
 from tests import platformstandin
 
 # Its tests share what one fixture plays.
@@ -38,6 +40,7 @@
 MAX_PLAYS = 3
 MAX_LAG_S = 0.2
 LAG_PERIOD_S = 0.02
+SHARE_WAIT_S = shares.LEASE_S + settings.Discovery.retry_window_s + 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -323,6 +326,8 @@
                 await deployment.wait_until(
                     lambda host=host: serves(deployment, host)
                 )
+            # Before, the entries may repeat next to nothing.
+            await asyncio.sleep(SHARE_WAIT_S)
             return await play_undisturbed(deployment)
         finally:
             await deployment.close()
