Log limits that endpoints name, and what limited endpoints are sent

No logic changed: nothing is held back. For each endpoint and second the log has what an entry sent while it knew of a limit; for each entry, when it learned of a limit, of which value and from an answer how old. Values that are no number above 0 are counted (odd_limits) and say nothing.

--- a/packages/daemon/src/apricotthread/daemon/fleetnode.py
+++ b/packages/daemon/src/apricotthread/daemon/fleetnode.py
@@ -37,6 +37,7 @@
 from apricotthread.gateway import exposures
 from apricotthread.gateway import forwarder
 from apricotthread.gateway import groupmonitor
+from apricotthread.gateway import limits
 from apricotthread.gateway import loads
 from apricotthread.gateway import stallwatch
 from apricotthread.groups import formationmanager
@@ -222,6 +223,7 @@
                 tasks.create_task(self.entry.stall_watch.run())
                 tasks.create_task(self.entry.observations.run())
                 tasks.create_task(self.entry.retry_budget.run())
+                tasks.create_task(self.entry.limits.run())
             # Discovery starts last, as it passes links to the components,
             # which have to run by then.
             await asyncio.sleep(0)
@@ -544,6 +546,7 @@
         self.subscriptions = subscriber.Subscriber(env=env, fleet=self.fleet)
         dialect = callers.PlatformDialect()
         load_table = loads.LoadTable(env=env)
+        self.limits = limits.LimitTable(env=env, fleet=self.fleet)
         self.share = shares.ShareHolder(env=env)
         self.exposures = exposures.ExposureMonitor(
             env=env, fleet=self.fleet, entry_id=settings.node_id
@@ -576,6 +579,7 @@
             pool=node.pool,
             dialect=dialect,
             load_table=load_table,
+            limit_table=self.limits,
             budget=self.retry_budget,
             share=self.share,
             stall_watch=self.stall_watch,
--- a/packages/gateway/src/apricotthread/gateway/attempts.py
+++ b/packages/gateway/src/apricotthread/gateway/attempts.py
@@ -9,6 +9,7 @@
 from apricotthread.gateway import budgets
 from apricotthread.gateway import exposures
 from apricotthread.gateway import groupmonitor
+from apricotthread.gateway import limits
 from apricotthread.gateway import loads
 from apricotthread.gateway import placement
 from apricotthread.gateway import requests
@@ -70,6 +71,7 @@
     pool: connections.ConnectionPool
     dialect: requests.Dialect
     loads: loads.LoadTable
+    limits: limits.LimitTable
     budget: budgets.RetryBudget
     group_monitor: groupmonitor.GroupMonitor
     exposure_monitor: exposures.ExposureMonitor
@@ -134,6 +136,7 @@
             )
             self._renew_retry(connection)
             connection.start(request_bytes)
+            endpoints.limits.note_sent(replica.endpoint_id)
         except connections.ConnectionLost as error:
             self.note_begun()
             endpoints.loads.end(replica.endpoint_id)
--- a/packages/gateway/src/apricotthread/gateway/forwarder.py
+++ b/packages/gateway/src/apricotthread/gateway/forwarder.py
@@ -15,6 +15,7 @@
 from apricotthread.gateway import events
 from apricotthread.gateway import exposures
 from apricotthread.gateway import groupmonitor
+from apricotthread.gateway import limits
 from apricotthread.gateway import loads
 from apricotthread.gateway import placement
 from apricotthread.gateway import requests
@@ -35,6 +36,8 @@
 MAX_BROKEN_OFF = 3
 # Statuses that tell a caller that its request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# Another endpoint at the address answers so, or one of another version.
+OTHER_ENDPOINT_STATUS = 421
 RETRY_AFTER_S = 0.2
 
 
@@ -71,6 +74,7 @@
         pool: connections.ConnectionPool,
         dialect: requests.Dialect,
         load_table: loads.LoadTable,
+        limit_table: limits.LimitTable,
         budget: budgets.RetryBudget,
         stall_watch: stallwatch.StallWatch,
         observations: groupmonitor.GroupMonitor,
@@ -83,6 +87,7 @@
         self._fleet = fleet
         self._dialect = dialect
         self._loads = load_table
+        self._limits = limit_table
         self._budget = budget
         self._watch = stall_watch
         self._group_monitor = observations
@@ -102,6 +107,7 @@
             pool=pool,
             dialect=dialect,
             loads=load_table,
+            limits=limit_table,
             budget=budget,
             group_monitor=observations,
             exposure_monitor=exposure_monitor,
@@ -462,7 +468,7 @@
             )
             with self._watch_attempt(request, request_trace, attempt):
                 answer = await connection.read_head()
-                self._check_answer(request, replica, answer)
+                self._check_answer(request, attempt, answer)
                 body, is_whole = await self._read_body(connection)
             if not 200 <= answer.status < 300:
                 raise self._make_status_failure(
@@ -516,13 +522,14 @@
     def _check_answer(
         self,
         request: requests.RoutedRequest,
-        replica: view.Replica,
+        attempt: stallwatch.Attempt,
         answer: connections.Answer,
     ) -> requests.AnswerMetadata:
         """Check that an answer belongs to the request and is signed.
 
-        Updates the load of the endpoint. Raises AttemptFailure.
+        Updates the load and the limit of the endpoint. Raises AttemptFailure.
         """
+        replica = attempt.replica
         metadata = self._dialect.parse_answer(answer)
         if metadata.request_id != request.caller.request_id:
             # Its statement that a request was not run is about another one.
@@ -531,6 +538,10 @@
                 reason='the answer belongs to another request'
             )
         self._loads.note_byte(replica.endpoint_id)
+        if answer.status != OTHER_ENDPOINT_STATUS:
+            self._limits.observe(
+                replica.endpoint_id, metadata, sent_at=attempt.started_at
+            )
         if metadata.running is not None:
             self._loads.note_load(
                 replica.endpoint_id,
@@ -692,7 +703,7 @@
             ):
                 answer = await connection.read_head()
                 context.note_begun()
-                self._check_answer(request, replica, answer)
+                self._check_answer(request, attempt, answer)
                 if not 200 <= answer.status < 300:
                     body, is_whole = await self._read_body(connection)
                     raise self._make_status_failure(
--- a/packages/gateway/src/apricotthread/gateway/requests.py
+++ b/packages/gateway/src/apricotthread/gateway/requests.py
@@ -64,7 +64,10 @@
     whether the endpoint states that it never ran the request. `running`
     and `waiting` count the requests at the endpoint; `running` is None if
     the endpoint does not report its load. `at_fault` is the server that
-    the answer names as the one at fault, if any.
+    the answer names as the one at fault, if any. `limit_per_s` is how many
+    requests a second the endpoint takes from all entries together, None if it
+    names no limit; `is_limit_odd` means that it names one that is no number
+    above 0, or several.
     """
 
     request_id: str
@@ -74,6 +77,8 @@
     running: int | None = None
     waiting: int = 0
     at_fault: str = ''
+    limit_per_s: float | None = None
+    is_limit_odd: bool = False
 
 
 class Dialect(typing.Protocol):
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -15,6 +15,7 @@
 from apricotthread.gateway import budgets
 from apricotthread.gateway import exposures
 from apricotthread.gateway import forwarder
+from apricotthread.gateway import limits
 from apricotthread.gateway import loads
 from apricotthread.gateway import requests
 from apricotthread.gateway import requesttrace
@@ -140,16 +141,18 @@
         not_run=not_run,
         endpoint_id='',
     )
+    fleet = types.SimpleNamespace(
+        replicas=lambda service: replicas,
+        cold_for_s=lambda endpoint_id: 0.0,
+        is_available=lambda endpoint_id: True,
+        takes_requests=lambda replica: False,
+        has_ended=lambda endpoint_id: False,
+        applied_index=1,
+        endpoint_by_id={},
+    )
     return forwarder.Forwarder(
         env=env,
-        fleet=types.SimpleNamespace(
-            replicas=lambda service: replicas,
-            cold_for_s=lambda endpoint_id: 0.0,
-            is_available=lambda endpoint_id: True,
-            takes_requests=lambda replica: False,
-            has_ended=lambda endpoint_id: False,
-            applied_index=1,
-        ),
+        fleet=fleet,
         pool=pool,
         dialect=types.SimpleNamespace(
             build_request=lambda job, **values: b'',
@@ -157,6 +160,7 @@
             answer_headers=lambda answer: [],
         ),
         load_table=loads.LoadTable(env=env),
+        limit_table=limits.LimitTable(env=env, fleet=fleet),
         budget=budgets.RetryBudget(
             env=env,
             share=fixedshares.FixedShare(),
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -19,6 +19,7 @@
 from apricotthread.gateway import exposures
 from apricotthread.gateway import forwarder
 from apricotthread.gateway import groupmonitor
+from apricotthread.gateway import limits
 from apricotthread.gateway import loads
 from apricotthread.gateway import requests
 from apricotthread.gateway import requesttrace
@@ -345,6 +346,7 @@
             pool=self.pool,
             dialect=Dialect(pool=self.pool),
             load_table=self.loads,
+            limit_table=limits.LimitTable(env=env, fleet=self.fleet),
             budget=budgets.RetryBudget(
                 env=env,
                 share=share,
