Reproduce requests beyond the limits that workers name

Nodes with all their components on a virtual clock, before twelve workers that name limits, while entries and control nodes are killed, cut off and paused. The workers count what they get from all entries that had been told.

--- a/tests/retryworld.py
+++ b/tests/retryworld.py
@@ -70,6 +70,7 @@
     at: float
     address: str
     is_repeat: bool
+    node_id: str
 
 
 class Connection:
@@ -87,7 +88,9 @@
         for line in request.split(b'\r\n'):
             if line.startswith(b'attempt-id: '):
                 self._request_id = line.partition(b' ')[2].decode()
-        self._world.note_arrival(self._address, self._request_id)
+        self._world.note_arrival(
+            self._address, self._request_id, self._node_id
+        )
 
     async def read_head(self):
         """Return an answer, or fail, as the draw says."""
@@ -100,7 +103,10 @@
         await world.wait_while_paused(self._node_id)
         if self._closed.is_set() or draw < 0.6 * world.failing:
             raise connections.ConnectionLost(reason='closed', sent=True)
-        headers = [(b'attempt-id', self._request_id.encode())]
+        headers = [
+            (b'attempt-id', self._request_id.encode()),
+            *world.name_limit(self._address, self._node_id),
+        ]
         if draw < world.failing:
             headers.append((b'not-executed', b'1'))
             return connections.Answer(status=503, headers=headers)
@@ -334,13 +340,18 @@
 
     # Workers
 
-    def note_arrival(self, address, request_id):
-        """Record a request that has reached a worker."""
+    def name_limit(self, address, node_id):
+        """Return the headers by which a worker names its limit to a node."""
+        return []
+
+    def note_arrival(self, address, request_id, node_id):
+        """Record a request of a node that has reached a worker."""
         self.arrivals.append(
             Arrival(
                 at=self.env.timer.now(),
                 address=address,
                 is_repeat=request_id in self._arrived_ids,
+                node_id=node_id,
             )
         )
         self._arrived_ids.add(request_id)
