Have the leader grant permits for endpoints that name a limit

Cause: nothing read the limit, and nothing divides a rate of an endpoint among entries. Ruled out: equal shares (fleet/shares.py). They waste a limit where callers stand at few entries, do not divide a limit below one a second and entry, and an entry has none for 13 s after its start.

Change: entries report the limits that answers name, and what they want. The leader keeps a token bucket for each such endpoint and grants permits that expire, as demand has it; it tells all entries of all limits. Without a leader there are none. The limit is known while placing: an endpoint without a permit is left out, a request waits for one for an eighth of its target at most, most urgent first, and is refused as not run after that.

--- a/packages/daemon/src/apricotthread/daemon/fleetnode.py
+++ b/packages/daemon/src/apricotthread/daemon/fleetnode.py
@@ -27,6 +27,7 @@
 from apricotthread.endpoints import directory
 from apricotthread.fleet import crashreports
 from apricotthread.fleet import evidence
+from apricotthread.fleet import limits as fleet_limits
 from apricotthread.fleet import publisher
 from apricotthread.fleet import quarantine
 from apricotthread.fleet import shares
@@ -408,6 +409,7 @@
         self.shares = shares.ShareRegistry(
             env=env, longest_window_s=known.retry_window_s
         )
+        self.permits = fleet_limits.PermitRegistry(env=env)
         self.fleet_publisher = publisher.Publisher(
             env=env,
             raft=self.raft,
@@ -512,6 +514,7 @@
                 self.quarantine.reply_to(report.crash_report)
             ),
             share=self._grant_share(report),
+            limits=self._grant_permits(report),
         )
 
     def _grant_share(self, report: evidence.EntryReport) -> bytes:
@@ -526,6 +529,18 @@
             )
         )
 
+    def _grant_permits(self, report: evidence.EntryReport) -> bytes:
+        """Return an entry's permits, empty while another node may lead."""
+        if not self.raft.holds_lease():
+            return b''
+        return fleet_limits.encode_reply(
+            self.permits.reply_to(
+                report.entry_id,
+                report.limit_report,
+                leader_since=self.raft.leader_since,
+            )
+        )
+
     def start(self, tasks: asyncio.TaskGroup) -> None:
         """Start the components in a task group."""
         tasks.create_task(self.raft.run())
@@ -558,6 +573,7 @@
             fleet=self.fleet,
             load_table=load_table,
             exposure_monitor=self.exposures,
+            limit_table=self.limits,
             share=self.share,
         )
         self.stall_watch = stallwatch.StallWatch(
--- a/packages/fleet/src/apricotthread/fleet/evidence.py
+++ b/packages/fleet/src/apricotthread/fleet/evidence.py
@@ -7,6 +7,7 @@
 
 from apricotthread.base import environment
 from apricotthread.fleet import crashreports
+from apricotthread.fleet import limits
 from apricotthread.fleet import shares
 
 
@@ -37,6 +38,7 @@
     in_flight: dict[str, int] = {}
     crash_report: crashreports.CrashReport = crashreports.CrashReport()
     share_claim: shares.ShareClaim = shares.ShareClaim()
+    limit_report: limits.LimitReport = limits.LimitReport()
 
 
 _REPORT_DECODER = msgspec.msgpack.Decoder(EntryReport)
--- a/packages/gateway/src/apricotthread/gateway/attempts.py
+++ b/packages/gateway/src/apricotthread/gateway/attempts.py
@@ -60,6 +60,14 @@
     given_up: placement.Choice | None = None
     # A retry that was taken from the budget and is not sent yet.
     unsent_retry: budgets.Retry | None = None
+    # A permit that is reserved for the next endpoint and not used yet.
+    permit: limits.Permit | None = None
+
+    def give_back_permit(self, limit_table: limits.LimitTable) -> None:
+        """Return the permit that is not used, if there is one."""
+        if self.permit is not None:
+            limit_table.give_back(self.permit)
+            self.permit = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -135,10 +143,11 @@
                 urgency=self._urgency,
             )
             self._renew_retry(connection)
+            self._use_permit(connection)
             connection.start(request_bytes)
-            endpoints.limits.note_sent(replica.endpoint_id)
         except connections.ConnectionLost as error:
             self.note_begun()
+            self._state.give_back_permit(endpoints.limits)
             endpoints.loads.end(replica.endpoint_id)
             endpoints.note_failure(replica)
             if replica.group_id:
@@ -147,6 +156,7 @@
             raise AttemptFailure(reason=error.reason, not_run=True) from error
         except BaseException:
             self.note_begun()
+            self._state.give_back_permit(endpoints.limits)
             endpoints.loads.end(replica.endpoint_id)
             raise
         self._connection = connection
@@ -172,6 +182,15 @@
                 not_run=True,
             )
 
+    def _use_permit(self, connection: connections.EndpointConnection) -> None:
+        """Raise AttemptFailure if the endpoint is at its limit by now."""
+        permit, self._state.permit = self._state.permit, None
+        if not self._endpoints.limits.use(self._replica.endpoint_id, permit):
+            self._endpoints.pool.release(connection)
+            raise AttemptFailure(
+                reason='the endpoint is at its limit', not_run=True
+            )
+
     def note_begun(self) -> None:
         """Stop counting the request as deferred, as its answer has begun."""
         if self._is_deferred:
--- a/packages/gateway/src/apricotthread/gateway/forwarder.py
+++ b/packages/gateway/src/apricotthread/gateway/forwarder.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import dataclasses
 import typing
 
 from apricotthread.base import environment
@@ -39,6 +40,8 @@
 # Another endpoint at the address answers so, or one of another version.
 OTHER_ENDPOINT_STATUS = 421
 RETRY_AFTER_S = 0.2
+# For how long a request may wait for a permit, of the target of its route.
+PERMIT_WAIT_TARGETS = 0.125
 
 
 class Sink(typing.Protocol):
@@ -96,6 +99,7 @@
             env=env,
             fleet=fleet,
             load_table=load_table,
+            limit_table=limit_table,
             observations=observations,
             share=share,
             own_data_centre=own_data_centre,
@@ -154,10 +158,11 @@
                 self._loads.end(state.reserved.candidate.replica.endpoint_id)
             if state.unsent_retry is not None:
                 self._budget.give_back(state.unsent_retry)
+            state.give_back_permit(self._limits)
 
     # Attempts
 
-    def _choose(
+    async def _choose(
         self,
         request: requests.RoutedRequest,
         state: attempts.AttemptState,
@@ -169,9 +174,7 @@
         """
         self._check_quarantine(request, state, request_trace)
         state.is_counted = state.reserved is not None
-        placed = state.reserved or self._selector.place(
-            request, state.tried_endpoint_ids
-        )
+        placed = state.reserved or await self._place(request, state)
         state.reserved = None
         match placed:
             case placement.Refusal(reason=reason, retry_after_s=retry_s):
@@ -199,6 +202,38 @@
                 )
         return placed
 
+    async def _place(
+        self, request: requests.RoutedRequest, state: attempts.AttemptState
+    ) -> placement.Choice | placement.Refusal:
+        """Place a request, and reserve a permit if its endpoint has a limit.
+
+        Where endpoints are left out as this entry has no permit for them, it
+        waits for one if the leader has some left.
+        """
+        give_up_at = self._env.timer.now() + (
+            PERMIT_WAIT_TARGETS * request.route.target_s
+        )
+        while True:
+            placed = self._selector.place(request, state.tried_endpoint_ids)
+            if isinstance(placed, placement.Choice):
+                state.permit = self._limits.reserve(
+                    placed.candidate.replica.endpoint_id
+                )
+                return placed
+            if not placed.limited_ids:
+                return placed
+            wait_s = self._limits.predict_wait_s(placed.limited_ids)
+            left_s = give_up_at - self._env.timer.now()
+            if wait_s > left_s or not await self._limits.wait_for_permit(
+                request.caller.model if request.service.engine else '',
+                priority=request.route.priority,
+                timeout_s=left_s,
+            ):
+                self._env.metrics.count('requests_over_limits')
+                return dataclasses.replace(
+                    placed, retry_after_s=max(placed.retry_after_s, wait_s)
+                )
+
     def _check_quarantine(
         self,
         request: requests.RoutedRequest,
@@ -376,7 +411,9 @@
     def _reserve(
         self, state: attempts.AttemptState, choice: placement.Choice
     ) -> None:
-        self._loads.start(choice.candidate.replica.endpoint_id)
+        endpoint_id = choice.candidate.replica.endpoint_id
+        self._loads.start(endpoint_id)
+        state.permit = self._limits.reserve(endpoint_id)
         state.reserved = choice
 
     def _return_to_given_up(
@@ -391,6 +428,8 @@
         if (
             choice is None
             or self._fleet.is_lost(choice.candidate.replica)
+            or self._limits.count_allowed(choice.candidate.replica.endpoint_id)
+            == 0
             or self._take_retry(request, state)
         ):
             return False
@@ -407,7 +446,7 @@
         state: attempts.AttemptState,
     ) -> None:
         while True:
-            choice = self._choose(request, state, request_trace)
+            choice = await self._choose(request, state, request_trace)
             try:
                 await self._call_once(
                     request, sink, request_trace, state, choice
@@ -648,7 +687,7 @@
         splitter = events.EventSplitter(last_id=request.caller.last_event_id)
         while True:
             try:
-                choice = self._choose(request, state, request_trace)
+                choice = await self._choose(request, state, request_trace)
             except errors.ApricotError as error:
                 if sink.started:
                     raise AnswerCut(error.message) from error
--- a/packages/gateway/src/apricotthread/gateway/groupmonitor.py
+++ b/packages/gateway/src/apricotthread/gateway/groupmonitor.py
@@ -10,9 +10,11 @@
 from apricotthread.endpoints import connections
 from apricotthread.fleet import crashreports
 from apricotthread.fleet import evidence
+from apricotthread.fleet import limits as fleet_limits
 from apricotthread.fleet import shares
 from apricotthread.fleet import view
 from apricotthread.gateway import exposures
+from apricotthread.gateway import limits
 from apricotthread.gateway import loads
 from apricotthread.nodes import membership
 from apricotthread.nodes import messages
@@ -51,7 +53,7 @@
     """Keeps when groups made progress, stalled or were unreachable.
 
     Reports these times and the entry's requests in flight to the leader,
-    which renews the entry's share in reply.
+    which renews the entry's share and its permits in reply.
     `has_callers` says whether any caller's request has come to the entry.
     """
 
@@ -64,9 +66,11 @@
         fleet: view.FleetView,
         load_table: loads.LoadTable,
         exposure_monitor: exposures.ExposureMonitor,
+        limit_table: limits.LimitTable,
         share: shares.ShareHolder,
     ) -> None:
         self._env = env
+        self._limits = limit_table
         self._members = members
         self._exposures = exposure_monitor
         self._share = share
@@ -78,6 +82,7 @@
         self.has_callers = False
         self._urgent_report_event = asyncio.Event()
         exposure_monitor.subscribe(self._urgent_report_event.set)
+        limit_table.subscribe(self._urgent_report_event.set)
 
     def _get_observation(self, replica: view.Replica) -> _Observation:
         return self._observation_by_group.setdefault(
@@ -210,15 +215,28 @@
             report = self._make_report(self._env.timer.now())
             payload = evidence.encode_report(report)
             await self._send(messages.Evidence(payload=payload))
-            await self._env.timer.sleep(URGENT_PERIOD_S)
+            await self._env.timer.sleep(
+                max(URGENT_PERIOD_S, self._alert_period_s())
+                if self._limits.has_demand
+                else URGENT_PERIOD_S
+            )
 
     def _report_period_s(self) -> float:
-        """Return the time between reports, shorter after crashes.
+        """Return the time between reports.
+
+        It is shorter after crashes, and while requests need permits.
+        """
+        if not (self._exposures.is_alert or self._limits.has_demand):
+            return REPORT_PERIOD_S
+        return self._alert_period_s()
+
+    def _alert_period_s(self) -> float:
+        """Return the time between reports while there is news.
 
         The leader gets no more than ALERT_REPORTS_PER_S, unless there are
         more entries than that allows.
         """
-        if not self._exposures.is_alert or not self._share.entries:
+        if not self._share.entries:
             return REPORT_PERIOD_S
         return min(REPORT_PERIOD_S, self._share.entries / ALERT_REPORTS_PER_S)
 
@@ -232,6 +250,7 @@
                 self._apply_in_flight_sums(reply.payload)
                 self._apply_quarantine(reply.quarantine)
                 self._apply_share(reply.share, sent_at)
+                self._apply_permits(reply.limits, sent_at)
             if reply is not None:
                 return
         logs.log_event('report_lost')
@@ -269,6 +288,17 @@
             return
         self._share.apply(grant, sent_at=sent_at)
 
+    def _apply_permits(self, payload: bytes, sent_at: float) -> None:
+        """Take the limits and permits, unless the leader is uncertain."""
+        if not payload:
+            return
+        try:
+            reply = fleet_limits.decode_reply(payload)
+        except msgspec.DecodeError as error:
+            logs.log_event('permits_broken', reason=str(error))
+            return
+        self._limits.apply_reply(reply, sent_at=sent_at)
+
     def _make_report(self, now: float) -> evidence.EntryReport:
         groups = []
         for key, observation in list(self._observation_by_group.items()):
@@ -298,6 +328,7 @@
             in_flight=self._loads.report_in_flight(),
             crash_report=self._exposures.make_report(),
             share_claim=self._share.make_claim(),
+            limit_report=self._limits.make_report(),
         )
 
 
--- a/packages/gateway/src/apricotthread/gateway/placement.py
+++ b/packages/gateway/src/apricotthread/gateway/placement.py
@@ -57,6 +57,8 @@
     data centre, `is_suspect` that it is ejected, has stalled or is silent.
     `cold_allowance` is how many more requests it may get now. `slowness` is
     the factor by which it is slower than its peers, at least 1.
+    `permits` is how many more requests this entry may send to an endpoint
+    that names a limit, None if it names none.
     """
 
     replica: view.Replica
@@ -66,6 +68,12 @@
     cold_allowance: int
     is_suspect: bool
     slowness: float = 1.0
+    permits: int | None = None
+
+    @property
+    def is_at_limit(self) -> bool:
+        """Whether it names a limit and this entry may send nothing more."""
+        return self.permits is not None and self.permits <= 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -80,10 +88,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Refusal:
-    """Why no replica gets a request, and when the caller may retry."""
+    """Why no replica gets a request, and when the caller may retry.
+
+    `limited_ids` are the endpoints that are left out as they are at the limit
+    that they name.
+    """
 
     reason: str
     retry_after_s: float
+    limited_ids: tuple[str, ...] = ()
 
 
 def predict_latency(
@@ -142,10 +155,14 @@
     best = None
     best_score = 0.0
     has_no_group = True
+    limited_ids = []
     for candidate in candidates:
         has_no_group = False
         if candidate.cold_allowance <= 0:
             continue
+        if candidate.is_at_limit:
+            limited_ids.append(candidate.replica.endpoint_id)
+            continue
         first_s, total_s = predict_latency(
             engine=engine,
             model=model,
@@ -167,9 +184,15 @@
                 candidate=candidate, first_event_s=first_s, total_s=total_s
             )
     if best is None:
-        reason = 'no group is open' if has_no_group else 'every group is cold'
+        reason = 'every group is cold'
+        if has_no_group:
+            reason = 'no group is open'
+        elif limited_ids:
+            reason = 'every group is at its limit'
         return Refusal(
-            reason=reason, retry_after_s=_retry_after_s(time_left_s, draw)
+            reason=reason,
+            retry_after_s=_retry_after_s(time_left_s, draw),
+            limited_ids=tuple(limited_ids),
         )
     has_room = best.candidate.load + 1 <= engine.slots
     limit_s = TARGET_SHARE * target_s
@@ -181,6 +204,7 @@
         return Refusal(
             reason='no group would start the answer in time',
             retry_after_s=_retry_after_s(time_left_s, draw),
+            limited_ids=tuple(limited_ids),
         )
     if can_be_on_time:
         return best
@@ -206,10 +230,14 @@
     best = None
     best_score = 0.0
     has_no_worker = True
+    limited_ids = []
     for candidate in candidates:
         has_no_worker = False
         if candidate.cold_allowance <= 0:
             continue
+        if candidate.is_at_limit:
+            limited_ids.append(candidate.replica.endpoint_id)
+            continue
         score = candidate.load / max(1, candidate.replica.slots)
         if not candidate.is_near:
             score += 0.2
@@ -219,10 +247,14 @@
             best = candidate
             best_score = score
     if best is None:
-        reason = (
-            'no worker is there' if has_no_worker else 'every worker is cold'
+        reason = 'every worker is cold'
+        if has_no_worker:
+            reason = 'no worker is there'
+        elif limited_ids:
+            reason = 'every worker is at its limit'
+        return Refusal(
+            reason=reason, retry_after_s=0.2, limited_ids=tuple(limited_ids)
         )
-        return Refusal(reason=reason, retry_after_s=0.2)
     return Choice(candidate=best, first_event_s=0.0, total_s=0.0)
 
 
--- a/packages/gateway/src/apricotthread/gateway/selection.py
+++ b/packages/gateway/src/apricotthread/gateway/selection.py
@@ -8,6 +8,7 @@
 from apricotthread.fleet import view
 from apricotthread.gateway import budgets
 from apricotthread.gateway import groupmonitor
+from apricotthread.gateway import limits
 from apricotthread.gateway import loads
 from apricotthread.gateway import placement
 from apricotthread.gateway import requests
@@ -22,6 +23,7 @@
         env: environment.Environment,
         fleet: view.FleetView,
         load_table: loads.LoadTable,
+        limit_table: limits.LimitTable,
         observations: groupmonitor.GroupMonitor,
         share: shares.ShareHolder,
         own_data_centre: str,
@@ -30,6 +32,7 @@
         self._env = env
         self._fleet = fleet
         self._loads = load_table
+        self._limits = limit_table
         self._group_monitor = observations
         self._share = share
         self._own_data_centre = own_data_centre
@@ -58,6 +61,13 @@
             for replica in replicas
             if replica.endpoint_id not in tried_endpoint_ids
         ]
+        limited_ids = tuple(
+            candidate.replica.endpoint_id
+            for candidate in candidates
+            if candidate.permits is not None
+        )
+        if limited_ids:
+            self._limits.note_demand(model_name, limited_ids)
         if leave_out_suspects:
             candidates = [c for c in candidates if not c.is_suspect]
         time_left_s = request.deadline - self._env.timer.now()
@@ -115,6 +125,7 @@
             or self._group_monitor.is_stalled(replica)
             or self._is_silent(replica),
             slowness=self._group_monitor.slowness(replica),
+            permits=self._limits.count_allowed(replica.endpoint_id),
         )
 
     def _draw(self, endpoint_id: str) -> float:
--- a/packages/nodes/src/apricotthread/nodes/messages.py
+++ b/packages/nodes/src/apricotthread/nodes/messages.py
@@ -408,14 +408,15 @@
     """The leader's answer to an entry's observations, in MessagePack.
 
     `payload` has the requests in flight from all entries by endpoint,
-    `quarantine` the parts of prompts that are kept away, and `share` the
-    entry's share of bounds that all entries hold together. The last two may
-    be empty.
+    `quarantine` the parts of prompts that are kept away, `share` the entry's
+    share of bounds that all entries hold together, and `limits` the limits of
+    endpoints with the entry's permits. All but the first may be empty.
     """
 
     payload: bytes
     quarantine: bytes = b''
     share: bytes = b''
+    limits: bytes = b''
 
 
 class DocumentRequest(Message):
--- a/packages/nodes/src/apricotthread/nodes/peer.capnp
+++ b/packages/nodes/src/apricotthread/nodes/peer.capnp
@@ -327,6 +327,7 @@
   payload @0 :Data;
   quarantine @1 :Data;
   share @2 :Data;
+  limits @3 :Data;
 }
 
 struct DocumentRequest {}
