Test who knows of a limit, since when, and what limited endpoints serve

Use of the limit wherever callers stand, below one a second, refusals at once, limits that end, lives under an old id, late and unsigned answers, odd values, permits that expire, silent, restarted and new holders.

--- a/tests/limitworld.py
+++ b/tests/limitworld.py
@@ -11,6 +11,8 @@
 BOUND_FACTOR = 1.5
 BOUND_SLACK = 5
 UNLIMITED = float('inf')
+# An eighth of the target of the route, and the steps of the clock.
+LONGEST_WAIT_S = 0.125 * retryworld.ROUTE.target_s + 0.005
 
 
 class LimitWorld(retryworld.RetryWorld):
@@ -27,14 +29,16 @@
         self._named_by_address = collections.defaultdict(list)
         # The requests of entries that had been told for a while.
         self.told_arrivals = []
+        self.answers_with_limits = 0
         # When an entry first passed on an answer that named one.
         self._told_at_by_pair = {}
 
     def set_limit(self, address, limit):
         """Have a worker name a limit from now on, None for none."""
         self.limit_by_address[address] = limit
+        is_number = isinstance(limit, float)
         self._named_by_address[address].append(
-            (self.env.timer.now(), UNLIMITED if limit is None else limit)
+            (self.env.timer.now(), limit if is_number else UNLIMITED)
         )
 
     def name_limit(self, address, node_id):
@@ -42,6 +46,7 @@
         limit = self.limit_by_address.get(address)
         if limit is None:
             return []
+        self.answers_with_limits += 1
         self._told_at_by_pair.setdefault(
             (address, node_id), self.env.timer.now()
         )
@@ -62,6 +67,14 @@
         if arrival.at - told_at >= KNOWN_S:
             self.told_arrivals.append(arrival)
 
+    def known_limit(self, node_id, address):
+        """Return what an entry takes for the limit of a worker."""
+        return self.node_by_id[node_id].entry.limits.find_limit(address)
+
+    def count(self, node_id, name):
+        """Return a counter of a node."""
+        return self.metrics_by_id[node_id].count_by_name[name]
+
     def worst_excess(self):
         """Return by how many requests the worst window passes a limit.
 
--- a/tests/retryworld.py
+++ b/tests/retryworld.py
@@ -172,6 +172,7 @@
         self.workers = workers
         self.failing = 0.0  # the share of attempts that fail
         self.cold_s = 0.0
+        self.born_ms = 1
         self.control_ids = ['c1', 'c2', 'c3']
         self.entry_ids = [f'e{number + 1}' for number in range(entries)]
         self.address_by_id = {
@@ -193,10 +194,15 @@
             for node_id in self.control_ids
         }
         self.node_by_id = {}
+        # These outlast the nodes.
+        self.metrics_by_id = {}
         self.callers_at = list(self.entry_ids)
         self.requested_at = []
         self.arrivals = []
         self.statuses = []
+        # How long refused callers waited, and when they may return.
+        self.refused_after_s = []
+        self.retry_after_s = []
         self._arrived_ids = set()
         self._cuts_by_pair = collections.Counter()
         self._resumed_by_id = {}
@@ -243,7 +249,9 @@
             env=environment.Environment(
                 timer=self.env.timer,
                 random=random.Random(self.random.random()),
-                metrics=metrics.Metrics(),
+                metrics=self.metrics_by_id.setdefault(
+                    node_id, metrics.Metrics()
+                ),
             ),
             log_writer=types.SimpleNamespace(
                 refill=lambda seconds: None, flush=lambda: None
@@ -371,7 +379,7 @@
                             service=SERVICE.name,
                             address=f'w{number}',
                             data_centre=DATA_CENTRES[number % 3],
-                            born_ms=1,
+                            born_ms=self.born_ms,
                             sequence=sequence,
                             slots=50,
                             cold_s=self.cold_s,
@@ -451,6 +459,9 @@
             self.statuses.append(sink.status)
         except errors.ApricotError as error:
             self.statuses.append(error.code.http_status)
+            if error.ran is errors.Ran.NO:
+                self.refused_after_s.append(self.env.timer.now() - now)
+                self.retry_after_s.append(error.retry_after_s)
         except forwarder.AnswerCut:
             self.statuses.append(0)
 
