--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	tests/test_crashing_prompts.py \
 	tests/test_childprocesses.py tests/test_failed_tests.py \
 	tests/test_fleet_streams.py tests/test_fleet_system.py \
-	tests/test_logs.py tests/test_retries_on_real_nodes.py \
+	tests/test_logs.py tests/test_named_limits_on_real_nodes.py tests/test_retries_on_real_nodes.py \
 	tests/test_signals.py tests/test_soak_run.py \
 	tests/test_storage.py tests/test_system.py
 # Known failures: the tests that KNOWN-RED.txt names do not gate.
--- a/tests/platformstandin.py
+++ b/tests/platformstandin.py
@@ -325,11 +325,7 @@
     async def _run(self, headers, writer):
         attempt = headers['attempt-id']
         self.run_count_by_attempt[attempt] += 1
-        sealed_headers = {
-            'Attempt-Id': attempt,
-            'Response-Seal': f'seal-{attempt}',
-            'Instance-Load': '1,0,8',
-        }
+        sealed_headers = self._seal(headers)
         if 'model' not in headers:
             await asyncio.sleep(self.gap_s)
             await self._outlast_pause()
@@ -352,6 +348,15 @@
             raise
         writer.write(b'0\r\n\r\n')
 
+    def _seal(self, headers):
+        """Return the headers of an answer of this worker."""
+        attempt = headers['attempt-id']
+        return {
+            'Attempt-Id': attempt,
+            'Response-Seal': f'seal-{attempt}',
+            'Instance-Load': '1,0,8',
+        }
+
     async def _outlast_pause(self):
         while self.is_paused:
             await asyncio.sleep(PAUSE_POLL_S)
