Apply only entries that this node has stored itself

Operators of similar systems saw changes refused long after disks that were full one after another had room again.

Cause: the leader's entries are in its log before they are synced. Followers that have them commit them. If the leader's own write then fails, it drops them from its log, and applied beyond its end. Ruled out: a majority that is lost (the others had all entries), elections that hang (lease and disk logs).

Change: an entry is applied once it is stored here and committed, and stored entries that had been committed before are applied at once. A proposer waits for the own disk anyway, so nothing is slower.

--- a/Makefile
+++ b/Makefile
@@ -8,9 +8,12 @@
 # Tests of real processes and disks, which need the machine for themselves.
 REAL = tests/test_bad_engines.py tests/test_bad_services.py \
 	tests/test_crashing_prompts.py \
-	tests/test_childprocesses.py tests/test_failed_tests.py \
-	tests/test_fleet_streams.py tests/test_fleet_system.py \
-	tests/test_logs.py tests/test_named_limits_on_real_nodes.py tests/test_retries_on_real_nodes.py \
+	tests/test_childprocesses.py tests/test_cut_heads.py \
+	tests/test_failed_tests.py tests/test_fleet_streams.py \
+	tests/test_fleet_system.py tests/test_full_disks.py \
+	tests/test_late_in_a_stop.py tests/test_logs.py \
+	tests/test_named_limits_on_real_nodes.py \
+	tests/test_retries_on_real_nodes.py \
 	tests/test_signals.py tests/test_soak_run.py \
 	tests/test_storage.py tests/test_system.py
 # Known failures: the tests that KNOWN-RED.txt names do not gate.
--- a/packages/control/src/apricotthread/control/replica.py
+++ b/packages/control/src/apricotthread/control/replica.py
@@ -440,6 +440,7 @@
             self._wake_waiters(self._replication_needed)
             await self.store.append([entry])
         self._advance_commit()
+        self._wake_application()
         return future
 
     async def _replicate(self, link: links.PeerLink) -> None:
@@ -586,6 +587,7 @@
             ]
             if new_entries:
                 await self.store.append(new_entries)
+                self._wake_application()
             matched_index = body.previous_index + len(body.entries)
             if self.store.synced_index < matched_index:
                 return self._append_reply(False, self.store.synced_index)
@@ -597,6 +599,11 @@
             self.commit_index = index
             self._commit_advanced.set()
 
+    def _wake_application(self) -> None:
+        """Have stored entries applied that had been committed before."""
+        if self.commit_index > self.applied_index:
+            self._commit_advanced.set()
+
     async def on_snapshot_piece(
         self, peer: messages.Greeting, body: messages.SnapshotPiece
     ) -> messages.Message:
@@ -634,7 +641,11 @@
             await self._commit_advanced.wait()
             self._commit_advanced.clear()
             records = []
-            while self.applied_index < self.commit_index:
+            # Others may have committed what this disk has not stored, and a
+            # failed write drops from the log.
+            while self.applied_index < min(
+                self.commit_index, self.store.synced_index
+            ):
                 index = self.applied_index + 1
                 entry = self.store.entry_at(index)
                 command = commands.decode_command(entry.payload)
@@ -648,7 +659,7 @@
             self._env.metrics.set_gauge('agreed_version', self.state.version)
             try:
                 await self.trail.append(records)
-                if self.commit_index > self.store.committed_index:
+                if self.applied_index > self.store.committed_index:
                     await self.store.save_commit(self.applied_index)
                 await self._compact()
             except errors.ApricotError as error:
--- a/packages/fakes/src/apricotthread/fakes/cluster.py
+++ b/packages/fakes/src/apricotthread/fakes/cluster.py
@@ -114,6 +114,10 @@
         self._task_by_id[node_id] = task
         return started
 
+    def has_ended(self, node_id: str) -> bool:
+        """Whether a node that was not stopped has ended by itself."""
+        return self._task_by_id[node_id].done()
+
     def start_all(self) -> None:
         """Start every node."""
         for node_id in self.address_by_id:
--- a/soak/faultynode.py
+++ b/soak/faultynode.py
@@ -65,12 +65,14 @@
     def _inject_fault(self) -> bool:
         """Inject the present fault; return whether the write is to be torn.
 
-        Raises OSError when the fault is 'full' or 'fails'.
+        Raises OSError when the fault is 'full', 'slow_and_full' or 'fails'.
         """
         match self._faults.read().get('disk'):
             case 'slow':
                 time.sleep(SLOW_SYNC_S)
-            case 'full':
+            case 'full' | 'slow_and_full' as fault:
+                if fault == 'slow_and_full':
+                    time.sleep(SLOW_SYNC_S)
                 raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
             case 'fails':
                 raise OSError(errno.EIO, os.strerror(errno.EIO))
--- a/tests/platformstandin.py
+++ b/tests/platformstandin.py
@@ -486,14 +486,16 @@
         )
         with open(self.folder / f'{host}.log', 'ab') as log:
             self.process_by_host[host] = await self.children.start(
-                *DAEMON,
-                '--settings',
-                str(path),
+                *self._make_command(host, path),
                 stdout=stdout or log,
                 stderr=log,
                 env={**os.environ, 'PYTHONUNBUFFERED': '1'},
             )
 
+    def _make_command(self, host, path):
+        """Return the command that starts a node, with its settings."""
+        return [*DAEMON, '--settings', str(path)]
+
     async def start(self):
         """Start all nodes."""
         for host in (*self.control_hosts, *self.entries):
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -1,6 +1,7 @@
 """Agreed state during network cuts, crashes, races and resent commands."""
 
 import asyncio
+import contextlib
 import itertools
 
 import pytest
@@ -385,6 +386,44 @@
     run_cluster(scenario)
 
 
+@pytest.mark.parametrize('seed', range(12))
+def test_a_disk_that_fills_up_under_changes_ends_no_node(seed):
+    """Guards against applying entries that a failed write has dropped."""
+
+    async def change_forever(cluster, leader, number):
+        for step in itertools.count():
+            with contextlib.suppress(errors.ApricotError):
+                await propose(cluster, leader, f'a{number}', step)
+            await cluster.env.timer.sleep(0.01 * cluster.env.random.random())
+
+    async def main(env):
+        cluster = clusters.MemoryCluster(env=env)
+        cluster.start_all()
+        leader = await cluster.wait_for_leader()
+        disk = cluster.disk_by_id[leader]
+        disk.sync_s = 0.05
+        changing = [
+            asyncio.create_task(change_forever(cluster, leader, number))
+            for number in range(3)
+        ]
+        await env.timer.sleep(1.0 + env.random.random())
+        disk.is_full = True
+        await env.timer.sleep(3.0)
+        disk.is_full = False
+        await env.timer.sleep(5.0)
+        for task in changing:
+            task.cancel()
+        await asyncio.gather(*changing, return_exceptions=True)
+        assert not cluster.has_ended(leader)
+        result = await propose(cluster, leader, 'last', 7)
+        await cluster.wait_for_version(result.version)
+        raft = cluster.node_by_id[leader].raft
+        assert raft.applied_index <= raft.store.last_index
+        await cluster.stop_all()
+
+    virtualclock.run(main(virtualclock.make_environment(seed)))
+
+
 def test_a_snapshot_that_is_stored_slowly_stops_no_node(run_cluster):
     """Guards against reading entries that the snapshot has replaced.
 
