Answer all requests by the end of a stop, and refuse late ones as not run

Here, on real nodes, a stream whose body became whole 5.5 or 6.4 s after SIGTERM was passed on, ran, and was answered 500 without a code as the process ended (of 12 requests of the test; calls have shorter deadlines than the grace, and were answered).

Cause: a stop bounds how long listeners wait, not the requests themselves.

Change: in a stop a request must be answered 0.3 s before the node ends. One that comes after the ready grace and might not be is refused as not run, with a Retry-After of 0.05 s; another entry takes it. What is open then is answered 504 before the node ends.

--- a/packages/daemon/src/apricotthread/daemon/fleetnode.py
+++ b/packages/daemon/src/apricotthread/daemon/fleetnode.py
@@ -59,6 +59,7 @@
 SETTINGS_PERIOD_S = 1.0
 DROP_STALE_PERIOD_S = 1.0
 EVIDENCE_TIMEOUT_S = 0.3  # a running leader answers within milliseconds
+LAST_ANSWERS_S = 0.3  # for the answers to requests that a stop gives up
 MAX_IDLE_CONNECTIONS = 32  # for each endpoint
 
 FolderOpener = collections.abc.Callable[..., folders.Folder]
@@ -299,7 +300,8 @@
 
         After `ready_grace_s` the listener of callers stops; the others stop
         once it has finished, as the readiness check is still answered until
-        then. All have until `drain_s` after the start of the drain.
+        then. All have until `drain_s` after the start of the drain, and what
+        is not answered shortly before is given up.
         """
         logs.log_event('node_draining', node=self.settings.node_id)
         deadline = self.env.timer.now() + self.settings.drain_s
@@ -313,8 +315,14 @@
             ]
             for listener, _ in serving_callers:
                 listeners.drain_listener(listener)
+            answered_by = deadline - LAST_ANSWERS_S
+            self.entry.application.begin_stop(
+                late_at=self.env.timer.now() + self.settings.ready_grace_s,
+                ends_at=answered_by,
+            )
             await self.env.timer.sleep(self.settings.ready_grace_s)
-            await self._finish(serving_callers, deadline)
+            await self._finish(serving_callers, answered_by)
+            self.entry.application.give_up_open()
         await self._finish(listening, deadline)
         unfinished = [
             listener for listener, task in listening if not task.done()
--- a/packages/gateway/src/apricotthread/gateway/application.py
+++ b/packages/gateway/src/apricotthread/gateway/application.py
@@ -1,6 +1,7 @@
 """The ASGI applications for callers and for the readiness check."""
 
 import asyncio
+import dataclasses
 import math
 import traceback
 import typing
@@ -19,6 +20,7 @@
 from apricotthread.gateway import routes
 
 NO_TABLE_RETRY_S = 0.5
+STOPPING_RETRY_S = 0.05  # another entry can take the request at once
 
 
 class CallerDisconnected(Exception):
@@ -38,6 +40,14 @@
     request_id: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Stop:
+    """From when on requests are late in a stop, and when it ends."""
+
+    late_at: float
+    ends_at: float
+
+
 class AsgiSink:
     """Sends one answer through the ASGI server."""
 
@@ -87,6 +97,21 @@
         self._return_detector = returns.ReturnDetector(env=env)
         self._route_index: routes.RouteIndex | None = None
         self.open_requests = 0
+        self._stop: _Stop | None = None
+        self._open_tasks: set[asyncio.Task] = set()
+
+    def begin_stop(self, *, late_at: float, ends_at: float) -> None:
+        """Answer all requests by the end of a stop, times of the timer.
+
+        A request that comes after `late_at` is refused if it might not be
+        answered by then: another entry can take it.
+        """
+        self._stop = _Stop(late_at=late_at, ends_at=ends_at)
+
+    def give_up_open(self) -> None:
+        """Answer the requests that still wait for an answer with an error."""
+        for task in self._open_tasks:
+            task.cancel()
 
     def set_table(self, table: routetables.RouteTable) -> None:
         """Route new requests by this table from now on."""
@@ -122,7 +147,9 @@
             )
             index = self._require_route_index()
             body = await self._read_body(receive, index.table.limits)
-            request = self._route_request(index, caller, body, received_at)
+            request = self._fit_into_stop(
+                self._route_request(index, caller, body, received_at)
+            )
             await self._forward_until_disconnect(
                 request, receive, sink, request_trace
             )
@@ -238,6 +265,20 @@
             can_be_on_time=elapsed_s <= route.target_s,
         )
 
+    def _fit_into_stop(
+        self, request: requests.RoutedRequest
+    ) -> requests.RoutedRequest:
+        """Bound a request by the end of a stop; raises ApricotError."""
+        if self._stop is None or request.deadline <= self._stop.ends_at:
+            return request
+        if self._env.timer.now() < self._stop.late_at:
+            return dataclasses.replace(request, deadline=self._stop.ends_at)
+        raise errors.ApricotError(
+            code=errors.ErrorCode.DRAINING,
+            message='this node is about to stop; the request was not run',
+            retry_after_s=STOPPING_RETRY_S,
+        )
+
     async def _forward_until_disconnect(
         self,
         request: requests.RoutedRequest,
@@ -260,14 +301,25 @@
                 request_task.cancel()
 
         watch_task = asyncio.create_task(watch_disconnect())
+        self._open_tasks.add(request_task)
         try:
             await self._forwarder.forward(request, sink, request_trace)
         except asyncio.CancelledError:
             if is_disconnected:
                 request_task.uncancel()
                 raise CallerDisconnected from None
-            raise
+            if self._stop is None:
+                raise
+            request_task.uncancel()
+            if sink.started:
+                raise forwarder.AnswerCut('the node stops') from None
+            raise errors.ApricotError(
+                code=errors.ErrorCode.DEADLINE,
+                message='no endpoint answered before this node had to stop',
+                ran=errors.Ran.UNKNOWN,
+            ) from None
         finally:
+            self._open_tasks.discard(request_task)
             watch_task.cancel()
 
     async def _send_error(
