Play workers that name limits in the soak

In half of the runs all workers name a limit of 2/s until the storm ends; what they get from entries that they had told, and that no fault disturbs, keeps to one and a half times that and five more. The draws of older seeds stay.

--- a/soak/backends.py
+++ b/soak/backends.py
@@ -187,6 +187,7 @@
                 record.Arrival(
                     attempt_id=self.get_attempt_id(headers),
                     service=self.service,
+                    worker=self.name,
                     at_s=observations.now_s(),
                 )
             )
@@ -194,6 +195,16 @@
             await asyncio.sleep(3600)
         await super()._answer(target, headers, body, writer)
 
+    def _note_named(self, attempt):
+        observations = self._worker_monitor.observations
+        observations.named_limits.append(
+            record.NamedLimit(
+                attempt_id=attempt,
+                worker=self.name,
+                at_s=observations.now_s(),
+            )
+        )
+
     def _handle_order(self, order):
         """Execute an order; refuse an older fence or epoch, as workers do."""
         if order.fence < self._highest_fence:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -29,6 +29,13 @@
 GRACE_CRASHES = 5
 CONTACT_S = 3.0
 MAX_LATE_GUILTY = 3
+# Bounds of the users for workers that name a limit; the one that they name
+# is a part of what the callers send.
+LIMIT_PER_S = 2.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+LIMIT_KNOWN_S = 0.5
 # The nodes are started with the default bound on retries.
 RETRY_RATIO = settings.Discovery.retry_ratio
 RETRY_SLACK = settings.Discovery.retry_slack
@@ -227,9 +234,13 @@
     violations = []
     for service, repeats in repeats_by_service.items():
         for start_s in repeats:
-            count = _count_in_window(repeats, start_s)
+            count = _count_in_window(repeats, start_s, RETRY_WINDOW_S)
             requests = max(
-                _count_in_window(sent_by_service[service], start_s - earlier_s)
+                _count_in_window(
+                    sent_by_service[service],
+                    start_s - earlier_s,
+                    RETRY_WINDOW_S,
+                )
                 for earlier_s in (0.0, RETRY_WINDOW_S / 2, RETRY_WINDOW_S)
             )
             if count > RETRY_RATIO * requests + RETRY_SLACK:
@@ -240,8 +251,62 @@
     return violations
 
 
-def _count_in_window(times_s: list[float], start_s: float) -> int:
-    return sum(start_s <= at_s < start_s + RETRY_WINDOW_S for at_s in times_s)
+def _count_in_window(
+    times_s: list[float], start_s: float, window_s: float
+) -> int:
+    return sum(start_s <= at_s < start_s + window_s for at_s in times_s)
+
+
+def check_named_limits(
+    observations: record.Observations, plan: schedule.Schedule
+) -> list[str]:
+    """Check that a worker gets no more than one and a half times its limit.
+
+    Counted are the requests of entries that have passed on an answer with the
+    limit, while no fault has disturbed them, from CONTACT_S after it was named
+    first.
+    """
+    entry_by_attempt = {a.attempt_id: a.entry for a in observations.attempts}
+    named_at: dict[str, float] = {}
+    told_at: dict[tuple[str, str], float] = {}
+    for named in observations.named_limits:
+        entry = entry_by_attempt.get(named.attempt_id, '')
+        named_at.setdefault(named.worker, named.at_s)
+        told_at.setdefault((named.worker, entry), named.at_s)
+    times_by_worker = collections.defaultdict(list)
+    for arrival in observations.arrivals:
+        entry = entry_by_attempt.get(arrival.attempt_id, '')
+        told_s = told_at.get((arrival.worker, entry), float('inf'))
+        if (
+            arrival.at_s - told_s >= LIMIT_KNOWN_S
+            and arrival.at_s >= named_at[arrival.worker] + CONTACT_S
+            and arrival.at_s <= plan.storm_ends_s
+            and not _is_disturbed(
+                plan, entry, told_s - CONTACT_S, arrival.at_s
+            )
+        ):
+            times_by_worker[arrival.worker].append(arrival.at_s)
+    allowed = LIMIT_FACTOR * LIMIT_PER_S * LIMIT_WINDOW_S + LIMIT_SLACK
+    return [
+        f'{worker}: {count} requests within {LIMIT_WINDOW_S} s from '
+        f'{start_s:.1f} s'
+        for worker, times in times_by_worker.items()
+        for start_s in times
+        if (count := _count_in_window(times, start_s, LIMIT_WINDOW_S))
+        > allowed
+    ]
+
+
+def _is_disturbed(
+    plan: schedule.Schedule, node: str, from_s: float, until_s: float
+) -> bool:
+    """Whether a fault has disturbed this very node in a period."""
+    return any(
+        node in (fault.target, fault.other)
+        and fault.at_s <= until_s
+        and fault.at_s + fault.duration_s >= from_s
+        for fault in plan.faults
+    )
 
 
 def check_taken_out(observations: record.Observations) -> list[str]:
@@ -294,6 +359,7 @@
         'guilty prompts kept away': check_guilty_prompts(observations, plan),
         'sound prompts served': check_sound_prompts(observations, plan),
         'repeats within the bound': check_repeats(observations),
+        'limits of workers kept': check_named_limits(observations, plan),
         'taken out': check_taken_out(observations),
         'no exits': check_exits(observations),
     }
--- a/soak/play.py
+++ b/soak/play.py
@@ -175,6 +175,7 @@
         self._observations.runs.clear()
         self._observations.sent.clear()
         self._observations.arrivals.clear()
+        self._observations.named_limits.clear()
         self._observations.acknowledged_tables[:] = [
             record.AcknowledgedTable(
                 version=ack.version, at_s=ack.at_s - offset_s
@@ -303,6 +304,13 @@
             await asyncio.sleep(fault.duration_s)
             worker_monitor.broken_share = 0.0
             return
+        if fault.kind is schedule.Kind.WORKERS_LIMITED:
+            for worker in worker_monitor.worker_by_name.values():
+                worker.limit_per_s = checks.LIMIT_PER_S
+            await asyncio.sleep(fault.duration_s)
+            for worker in worker_monitor.worker_by_name.values():
+                worker.limit_per_s = None
+            return
         worker = worker_monitor.worker_by_name[fault.target]
         if fault.kind is schedule.Kind.WORKER_DIES:
             if worker.is_up:
--- a/soak/record.py
+++ b/soak/record.py
@@ -86,6 +86,16 @@
 
     attempt_id: str
     service: str
+    worker: str
+    at_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NamedLimit:
+    """An answer in which a worker named its limit."""
+
+    attempt_id: str
+    worker: str
     at_s: float
 
 
@@ -138,6 +148,7 @@
     runs: list[Run] = dataclasses.field(default_factory=list)
     sent: list[Sent] = dataclasses.field(default_factory=list)
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
+    named_limits: list[NamedLimit] = dataclasses.field(default_factory=list)
     acknowledged_tables: list[AcknowledgedTable] = dataclasses.field(
         default_factory=list
     )
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -23,6 +23,8 @@
 # Answers of all workers break off in this share of the runs, until the storm
 # ends.
 BREAKING_SHARE = 0.5
+# All workers name limits in this share of the runs, until the storm ends.
+LIMITED_SHARE = 0.5
 
 
 class Kind(enum.Enum):
@@ -35,7 +37,8 @@
     then, an endless one sends bytes until its connection is closed. A worker
     that pauses is sound; it pauses during planned work only. Prompts that
     crash have a part that ends each worker that begins to answer it. While
-    answers break, all workers break off most of them.
+    answers break, all workers break off most of them. Limited workers name
+    how many requests a second they take.
     """
 
     LINK_DELAY = 'link_delay'
@@ -67,6 +70,7 @@
     WORKER_PAUSES = 'worker_pauses'
     PROMPTS_CRASH = 'prompts_crash'
     ANSWERS_BREAK = 'answers_break'
+    WORKERS_LIMITED = 'workers_limited'
 
 
 # Planned work, which has to cut no answer.
@@ -98,6 +102,7 @@
         Kind.WORKER_ENDLESS,
         Kind.WORKER_PAUSES,
         Kind.ANSWERS_BREAK,
+        Kind.WORKERS_LIMITED,
     }
 )
 # Drawn apart from the others, so that the faults of older seeds stay.
@@ -111,8 +116,14 @@
         Kind.WORKER_PAUSES,
         Kind.PROMPTS_CRASH,
         Kind.ANSWERS_BREAK,
+        Kind.WORKERS_LIMITED,
     )
 )
+# What the times of these are drawn by, besides the seed of the run.
+SEED_BY_KIND = {
+    Kind.ANSWERS_BREAK: 'breaking answers',
+    Kind.WORKERS_LIMITED: 'limited workers',
+}
 OPERATOR_KINDS = frozenset(
     {Kind.TABLES_IN_SUCCESSION, Kind.TABLES_RACED, Kind.DATA_CENTRE_OUT}
 )
@@ -188,7 +199,13 @@
             )
     faults.extend(_make_unending(seed, storm_s, topology))
     faults.extend(_make_crashing_prompts(seed, storm_s))
-    faults.extend(_make_breaking_answers(seed, storm_s))
+    for kind, share in (
+        (Kind.ANSWERS_BREAK, BREAKING_SHARE),
+        (Kind.WORKERS_LIMITED, LIMITED_SHARE),
+    ):
+        faults.extend(
+            _make_state_of_all_workers(seed, storm_s, kind=kind, share=share)
+        )
     planned_from_s = storm_s + RECOVERY_S
     for number, kind in enumerate(
         generator.sample(PLANNED_KINDS, len(PLANNED_KINDS))
@@ -279,17 +296,22 @@
     ]
 
 
-def _make_breaking_answers(seed: int, storm_s: float) -> list[Fault]:
-    """Return the time in which workers break off most answers."""
-    generator = random.Random(f'{seed} breaking answers')
-    if generator.random() > BREAKING_SHARE:
+def _make_state_of_all_workers(
+    seed: int, storm_s: float, *, kind: Kind, share: float
+) -> list[Fault]:
+    """Return a fault of all workers that lasts until the storm ends.
+
+    It comes in this share of the runs.
+    """
+    generator = random.Random(f'{seed} {SEED_BY_KIND[kind]}')
+    if generator.random() > share:
         return []
     at_s = generator.uniform(FIRST_FAULT_S, max(FIRST_FAULT_S, storm_s / 3))
     return [
         Fault(
             at_s=round(at_s, 3),
             duration_s=round(storm_s - at_s, 3),
-            kind=Kind.ANSWERS_BREAK,
+            kind=kind,
             target='',
         )
     ]
--- a/tests/platformstandin.py
+++ b/tests/platformstandin.py
@@ -204,6 +204,8 @@
         self.silent_before = 0
         self.silent_s = 0.0
         self.is_paused = False
+        # How many requests a second it says that it takes, if it does.
+        self.limit_per_s = None
         self.orders = []
         self._server = None
         self._tasks = set()
@@ -351,11 +353,18 @@
     def _seal(self, headers):
         """Return the headers of an answer of this worker."""
         attempt = headers['attempt-id']
-        return {
+        sealed_headers = {
             'Attempt-Id': attempt,
             'Response-Seal': f'seal-{attempt}',
             'Instance-Load': '1,0,8',
         }
+        if self.limit_per_s:
+            sealed_headers['Server-Limit'] = str(self.limit_per_s)
+            self._note_named(attempt)
+        return sealed_headers
+
+    def _note_named(self, attempt):
+        """Do something when an answer names a limit."""
 
     async def _outlast_pause(self):
         while self.is_paused:
--- a/tests/test_named_limits_on_real_nodes.py
+++ b/tests/test_named_limits_on_real_nodes.py
@@ -38,15 +38,11 @@
             self.arrivals.append(now)
         await super()._run(headers, writer)
 
-    def _seal(self, headers):
-        sealed_headers = super()._seal(headers)
-        if self.limit_per_s:
-            now = asyncio.get_running_loop().time()
-            host = headers['attempt-id'].partition('/')[0]
-            self.named_at = self.named_at or now
-            self._told.setdefault((self.name, host), now)
-            sealed_headers['Server-Limit'] = str(self.limit_per_s)
-        return sealed_headers
+    def _note_named(self, attempt):
+        now = asyncio.get_running_loop().time()
+        host = attempt.partition('/')[0]
+        self.named_at = self.named_at or now
+        self._told.setdefault((self.name, host), now)
 
     def worst_window(self):
         """Return the most requests in a window of the bound."""
--- a/tests/test_retries_on_real_nodes.py
+++ b/tests/test_retries_on_real_nodes.py
@@ -33,6 +33,7 @@
             record.Arrival(
                 attempt_id=self.get_attempt_id(headers),
                 service=self.service,
+                worker=self.name,
                 at_s=self._observations.now_s(),
             )
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -263,12 +263,19 @@
     for number in range(100):
         observations.note_sent(record.CallKind.STREAM)
         observations.arrivals.extend(
-            record.Arrival(attempt_id=f'r-{number}', service='models', at_s=at)
+            record.Arrival(
+                attempt_id=f'r-{number}',
+                service='models',
+                worker='w',
+                at_s=at,
+            )
             for at in ([1.0, 9.0] if number < allowed else [1.0])
         )
     assert find_broken_promises(observations, plan) == set()
     observations.arrivals.append(
-        record.Arrival(attempt_id='r-99', service='models', at_s=9.5)
+        record.Arrival(
+            attempt_id='r-99', service='models', worker='w', at_s=9.5
+        )
     )
     assert find_broken_promises(observations, plan) == {
         'repeats within the bound'
@@ -442,3 +449,36 @@
     table = '\n'.join(('heading', closed, is_open))
     assert proxies.parse_inode(table, 0xC350) == '4711'
     assert proxies.parse_inode(closed, 0xC350) == ''
+
+
+@pytest.mark.parametrize(('count', 'is_kept'), [(17, True), (18, False)])
+def test_requests_beyond_the_limit_of_a_worker_are_a_violation(count, is_kept):
+    """Half of them come from an entry that has not been told."""
+    observations = record.Observations()
+    for number in range(2 * count + 1):
+        observations.attempts.append(
+            record.Attempt(
+                attempt_id=f'r-{number}',
+                kind=record.CallKind.READ,
+                entry=f'entry-{number % 2}',
+                began_s=0.0,
+                ended_s=1.0,
+                outcome=record.Outcome.WHOLE,
+            )
+        )
+        observations.arrivals.append(
+            record.Arrival(
+                attempt_id=f'r-{number}',
+                service='bids',
+                worker='w',
+                at_s=1.0 if number == 0 else 5.0 + 0.05 * number,
+            )
+        )
+    observations.named_limits.append(
+        record.NamedLimit(attempt_id='r-0', worker='w', at_s=1.0)
+    )
+    plan = schedule.Schedule(
+        faults=(), storm_ends_s=20.0, planned_from_s=30.0, ends_s=40.0
+    )
+    violations = checks.check_named_limits(observations, plan)
+    assert (violations == []) is is_kept
