Let endpoints announce a limit to the product's own interface

limit_per_s in an announcement: the home entry, which alone sends to the endpoint, keeps to it; another entry that becomes its home starts with nothing of it. Tested on the registry, not on real nodes.

--- a/packages/endpoints/src/apricotthread/endpoints/registry.py
+++ b/packages/endpoints/src/apricotthread/endpoints/registry.py
@@ -10,6 +10,8 @@
 
 SPEED_WEIGHT = 0.2  # weight of the newest sample in the moving average
 SUSPENSION_S = 1.0  # an endpoint that failed gets no requests for so long
+# An endpoint with a limit gets no more at once than this adds up to, and one.
+LIMIT_BURST_S = 1.0
 MEMORY_SHARE = 0.9  # share of an endpoint's memory that requests may use
 
 
@@ -32,7 +34,12 @@
         announcement: announcements.Announcement,
         now: float,
         usable_at: float,
+        get_now: collections.abc.Callable[[], float],
     ) -> None:
+        self._get_now = get_now
+        # What it may be sent of its limit; none of what its last entry left.
+        self._allowance = 0.0
+        self._allowance_at = now
         self.announcement = announcement
         self.received_at = now
         self.usable_at = usable_at
@@ -62,6 +69,7 @@
                 'endpoint_restarted', endpoint=announcement.endpoint_id
             )
             self.ramp.restart()
+        self._fill_allowance()
         self.announcement = announcement
         self.received_at = now
         self.untracked_requests = max(
@@ -97,9 +105,23 @@
         counted here. The report only adds the others: requests sent by
         an earlier entry, or cancelled requests that have not ended yet.
         """
-        return max(
+        free = max(
             0, self.ramp.limit - self.outstanding - self.untracked_requests
         )
+        if not self.announcement.limit_per_s:
+            return free
+        self._fill_allowance()
+        return min(free, int(self._allowance))
+
+    def _fill_allowance(self) -> None:
+        """Add what the limit has allowed since the last time."""
+        now = self._get_now()
+        limit_per_s = self.announcement.limit_per_s
+        self._allowance = min(
+            self._allowance + (now - self._allowance_at) * limit_per_s,
+            LIMIT_BURST_S * limit_per_s + 1,
+        )
+        self._allowance_at = now
 
     def free_bytes(self) -> int:
         """Return the bytes of memory left for further requests."""
@@ -123,6 +145,7 @@
     def reserve(self, max_size: int) -> None:
         """Reserve room for a request that is about to be sent."""
         self.outstanding += 1
+        self._allowance = max(0.0, self._allowance - 1)
         self.reserved_bytes += self._bytes_for(max_size)
 
     def release(self, max_size: int) -> None:
@@ -179,7 +202,10 @@
             outstanding = stored.outstanding if stored is not None else 0
             reserved = stored.reserved_bytes if stored is not None else 0
             endpoint = Endpoint(
-                announcement=announcement, now=now, usable_at=now + wait_s
+                announcement=announcement,
+                now=now,
+                usable_at=now + wait_s,
+                get_now=self._env.timer.now,
             )
             endpoint.outstanding = outstanding
             endpoint.reserved_bytes = reserved
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -49,6 +49,7 @@
             ),
             now=0.0,
             usable_at=0.0,
+            get_now=lambda: 0.0,
         )
 
     def own_endpoints(self, _service):
