--- a/soak/checks.py
+++ b/soak/checks.py
@@ -263,8 +263,8 @@
     """Check that a worker gets no more than one and a half times its limit.
 
     Counted are the requests of entries that have passed on an answer with the
-    limit, while no fault has disturbed them, from CONTACT_S after it was named
-    first.
+    limit, unless a fault disturbed them within CONTACT_S, from CONTACT_S after
+    it was named first.
     """
     entry_by_attempt = {a.attempt_id: a.entry for a in observations.attempts}
     named_at: dict[str, float] = {}
@@ -282,7 +282,7 @@
             and arrival.at_s >= named_at[arrival.worker] + CONTACT_S
             and arrival.at_s <= plan.storm_ends_s
             and not _is_disturbed(
-                plan, entry, told_s - CONTACT_S, arrival.at_s
+                plan, entry, arrival.at_s - CONTACT_S, arrival.at_s
             )
         ):
             times_by_worker[arrival.worker].append(arrival.at_s)
