Tell callers a finite time to return when no leader replies

With all endpoints at their limits and no leader, a refusal had an infinite Retry-After, and its caller got an answer without a code (math.ceil raises OverflowError). Found by reading; the test failed before (inf < 4.0).

--- a/packages/gateway/src/apricotthread/gateway/forwarder.py
+++ b/packages/gateway/src/apricotthread/gateway/forwarder.py
@@ -66,6 +66,20 @@
     """An answer that was begun can not be completed."""
 
 
+def _tell_when_permits_come(
+    refusal: placement.Refusal, wait_s: float
+) -> placement.Refusal:
+    """Return a refusal whose caller returns once there may be a permit.
+
+    When that is, is not known without a leader.
+    """
+    if wait_s == float('inf'):
+        return refusal
+    return dataclasses.replace(
+        refusal, retry_after_s=max(refusal.retry_after_s, wait_s)
+    )
+
+
 class Forwarder:
     """Forwards requests; retries and resumes them where that is allowed."""
 
@@ -230,9 +244,7 @@
                 timeout_s=left_s,
             ):
                 self._env.metrics.count('requests_over_limits')
-                return dataclasses.replace(
-                    placed, retry_after_s=max(placed.retry_after_s, wait_s)
-                )
+                return _tell_when_permits_come(placed, wait_s)
 
     def _check_quarantine(
         self,
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -108,6 +108,16 @@
     assert min(world.retry_after_s) > 0
 
 
+def test_without_a_leader_callers_are_told_when_to_return():
+    async def lose_control(world):
+        await world.env.timer.sleep(5.0)
+        await world.kill(*world.control_ids)
+
+    world = play(1, name_limits(3.0, count=12), lose_control, rate=20.0)
+    assert len(world.retry_after_s) > 100
+    assert 0 < max(world.retry_after_s) < limitworld.BOUND_WINDOW_S
+
+
 def test_other_workers_take_what_limited_ones_may_not():
     world = play(1, name_limits(3.0, count=8))
     assert world.served_share() > 0.99
