--- a/bench/proofs.py
+++ b/bench/proofs.py
@@ -711,6 +711,70 @@
         test='tests/test_repeated_refusals.py::test_a_refusal_that_comes_'
         'again_is_not_that_of_the_next_request[/bids/1]',
     ),
+    Removal(
+        mechanism='an entry sends to a limited endpoint with permits only',
+        module='gateway/limits.py',
+        code='            return None\n        return len(',
+        instead='            return None\n        return 1 + len(',
+        test='tests/test_named_limits.py::test_requests_beyond_all_limits_'
+        'are_refused_at_once_as_not_run',
+    ),
+    Removal(
+        mechanism='a permit expires',
+        module='gateway/limits.py',
+        code='if permit is None or permit.expires_at <= now:',
+        instead='if permit is None:',
+        test='tests/test_named_limits.py::test_a_request_that_is_held_up_'
+        'past_its_permit_is_not_sent',
+    ),
+    Removal(
+        mechanism='the answer to the later request says which limit holds',
+        module='gateway/limits.py',
+        code='if not limit.is_newer_than(known):',
+        instead='if False:',
+        test='tests/test_named_limits.py::test_a_late_answer_does_not_'
+        'replace_a_newer_one',
+    ),
+    Removal(
+        mechanism='permits that nobody reports count as used',
+        module='fleet/limits.py',
+        code='self.take(holder.permits)\n                holder.assumed',
+        instead='holder.assumed',
+        test='tests/test_named_limits.py::test_permits_of_an_entry_that_'
+        'falls_silent_count_as_used',
+    ),
+    Removal(
+        mechanism='a new leader starts with empty buckets',
+        module='fleet/limits.py',
+        code='self._bucket_by_id.clear()',
+        instead='pass',
+        test='tests/test_named_limits.py::test_a_new_leader_grants_only_'
+        'what_has_come_in_since',
+    ),
+    Removal(
+        mechanism='a node applies only what it has stored',
+        module='control/replica.py',
+        code='self.commit_index, self.store.synced_index',
+        instead='self.commit_index, self.commit_index',
+        test='tests/test_agreement.py::test_a_disk_that_fills_up_under_'
+        'changes_ends_no_node',
+    ),
+    Removal(
+        mechanism='a stop refuses what it might not answer',
+        module='gateway/application.py',
+        code='if self._env.timer.now() < self._stop.late_at:',
+        instead='if True:',
+        test='tests/test_late_in_a_stop.py::test_what_comes_late_in_a_stop_'
+        'is_answered_or_refused_as_not_run[/lots/1]',
+    ),
+    Removal(
+        mechanism='an endpoint gets what it announces to take',
+        module='endpoints/registry.py',
+        code='return min(free, int(self._allowance))',
+        instead='return free',
+        test='tests/test_announced_limits.py::test_an_endpoint_gets_what_it_'
+        'announces_to_take',
+    ),
 )
 
 
--- a/packages/groups/src/apricotthread/groups/census.py
+++ b/packages/groups/src/apricotthread/groups/census.py
@@ -56,6 +56,37 @@
     )
 
 
+def list_spares(
+    *,
+    vm_by_id: dict[str, steps.Vm],
+    groups: collections.abc.Iterable[ledger.Group],
+    loading: frozenset[steps.IncarnationId],
+) -> list[str]:
+    """Return how many spares of each domain hold which model, as text.
+
+    Spares are idle although they hold weights: fewer than a group needs.
+    """
+    held_ids = {
+        member.endpoint_id
+        for group in groups
+        for member in (*group.members, *group.departed)
+    }
+    count_by_place = collections.Counter(
+        (
+            vm.last_announcement.fabric_domain,
+            vm.last_announcement.staged[0],
+        )
+        for vm in vm_by_id.values()
+        if vm.is_usable
+        and vm.endpoint_id not in held_ids
+        and _state_of_idle(vm, loading) is VmState.SPARE
+    )
+    return [
+        f'{domain} {model} {count}'
+        for (domain, model), count in sorted(count_by_place.items())
+    ]
+
+
 def _state_of_idle(
     vm: steps.Vm, loading: frozenset[steps.IncarnationId]
 ) -> VmState:
--- a/packages/groups/src/apricotthread/groups/formationmanager.py
+++ b/packages/groups/src/apricotthread/groups/formationmanager.py
@@ -279,6 +279,11 @@
                     state.value: count_by_state[state]
                     for state in census.VmState
                 },
+                spares=census.list_spares(
+                    vm_by_id=vm_by_id,
+                    groups=self._ledger.groups(),
+                    loading=frozenset(key for key, _ in self._load_by_target),
+                ),
             )
 
     def _track_warm_models(self, vm_by_id: dict[str, steps.Vm]) -> None:
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -247,3 +247,9 @@
         census.VmState.LOADING: 1,
         census.VmState.EMPTY: 1,
     }
+    spares = census.list_spares(
+        vm_by_id=world.vm_by_id,
+        groups=world.ledger.groups(),
+        loading=frozenset({loading.incarnation_id}),
+    )
+    assert sum(int(spare.split()[2]) for spare in spares) == 11
