--- a/packages/control/src/apricotthread/control/replica.py
+++ b/packages/control/src/apricotthread/control/replica.py
@@ -659,7 +659,7 @@
             self._env.metrics.set_gauge('agreed_version', self.state.version)
             try:
                 await self.trail.append(records)
-                if self.applied_index > self.store.committed_index:
+                if self.commit_index > self.store.committed_index:
                     await self.store.save_commit(self.applied_index)
                 await self._compact()
             except errors.ApricotError as error:
