--- a/packages/gateway/src/apricotthread/gateway/limits.py
+++ b/packages/gateway/src/apricotthread/gateway/limits.py
@@ -18,13 +18,13 @@
 
 LOG_PERIOD_S = 1.0
 DEMAND_WINDOW_S = 1.0
-# How much of its demand an entry keeps permits for, so that requests mostly
-# need not wait for a reply of the leader.
+# For so many seconds of its demand an entry keeps permits, so that requests
+# mostly need not wait for a reply of the leader.
 STOCK_S = 0.4
 # An entry mentions an endpoint to the leader for this long after its last
 # request to it, so that all that it sent is counted.
 MENTIONED_S = 10.0
-# A newer observation of the same limit is told to the leader only this late.
+# A newer observation of the same limit is reported after this time only.
 REFRESH_S = 5.0
 
 
@@ -36,7 +36,7 @@
     expires_at: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, eq=False, order=False)
+@dataclasses.dataclass(frozen=True, kw_only=True, eq=False)
 class _Waiter:
     """A request of a model that waits for a permit; 0 is the most urgent."""
 
@@ -76,7 +76,6 @@
         self._sent_by_id = collections.Counter()
         self._sent_at_by_id: dict[str, float] = {}
         self._sent_in_period_by_id = collections.Counter()
-        self._waited_in_period = 0
         self._demand_times_by_model: dict[str, collections.deque[float]] = (
             collections.defaultdict(collections.deque)
         )
