Plan on when a domain without idle VMs was never seen with one

Cause: a lookup in a defaultdict of idle VMs added domains without any after the times of settling had been noted, and plan_spares asked for the time of such a domain: KeyError. A leader that had seen an idle VM there had an old time, so it showed only after restarts. Ruled out: the ledger and the restart itself; the plan alone fails in a test without either.

Change: the pool's collections are plain dicts; a domain without a noted time is not settled. Class: an exception in one plan, one check of a slow request, one reply, one update of a control node or one round of probes is logged and counted and fails only that. An update that failed ended an entry's subscription for good without a line. Agreed state is not contained.

--- a/packages/base/src/apricotthread/base/logs.py
+++ b/packages/base/src/apricotthread/base/logs.py
@@ -6,12 +6,14 @@
 import select
 import sys
 import time
+import traceback
 import typing
 
 import eliot
 import orjson
 
 from apricotthread.base import errors
+from apricotthread.base import metrics
 
 MAX_PENDING_LINES = 2000
 MAX_PENDING_BYTES = 1 << 20  # of output that the reader did not take
@@ -19,6 +21,8 @@
 # all. So no line is cut, even if the process is killed.
 MAX_WRITE_BYTES = select.PIPE_BUF
 STANDARD_OUTPUT = 1
+# Of a trace only its end is logged, so that its line fits into one write.
+MAX_TRACE_CHARS = 2000
 
 
 class LineWriter:
@@ -153,3 +157,25 @@
     """Write records of the start and the end of the enclosed block."""
     with eliot.start_action(action_type=action, **fields) as running:
         yield running
+
+
+def log_bug(event: str, **fields: typing.Any) -> None:
+    """Write a record of the exception that is being handled."""
+    log_event(event, trace=traceback.format_exc()[-MAX_TRACE_CHARS:], **fields)
+
+
+@contextlib.contextmanager
+def contain_bug(
+    event: str, process_metrics: metrics.Metrics, **fields: typing.Any
+):
+    """Log and count an unexpected exception of the enclosed block.
+
+    For periodic work on one of many objects, which can be done again: a bug
+    that shows in one of them must not end the process. Changes of agreed
+    state are no such work, as a replica that skips one diverges.
+    """
+    try:
+        yield
+    except Exception:
+        process_metrics.count('bugs_contained')
+        log_bug(event, **fields)
--- a/packages/fleet/src/apricotthread/fleet/subscriber.py
+++ b/packages/fleet/src/apricotthread/fleet/subscriber.py
@@ -58,6 +58,11 @@
                     'update_broken', peer=link.peer_id, reason=str(error)
                 )
                 link.drop()
+            except Exception:
+                # The next subscription begins with a complete update.
+                self._env.metrics.count('bugs_contained')
+                logs.log_bug('update_broke', peer=link.peer_id)
+                link.drop()
             finally:
                 self._fleet.disconnect(link.peer_id)
             await self._env.timer.sleep(RETRY_S)
--- a/packages/gateway/src/apricotthread/gateway/application.py
+++ b/packages/gateway/src/apricotthread/gateway/application.py
@@ -3,7 +3,6 @@
 import asyncio
 import dataclasses
 import math
-import traceback
 import typing
 
 import msgspec
@@ -181,7 +180,7 @@
         except Exception:
             # A bug that shows in one request must not end the entry, and the
             # server would print it without the request.
-            logs.log_event('request_broke', trace=traceback.format_exc())
+            logs.log_bug('request_broke')
             raise AnswerAborted from None
 
     def get_limits(self) -> routetables.CallerLimits:
--- a/packages/gateway/src/apricotthread/gateway/groupmonitor.py
+++ b/packages/gateway/src/apricotthread/gateway/groupmonitor.py
@@ -247,14 +247,20 @@
             sent_at = self._env.timer.now()
             reply = await link.try_call(report, timeout_s=REPLY_TIMEOUT_S)
             if isinstance(reply, messages.EvidenceReply):
-                self._apply_in_flight_sums(reply.payload)
-                self._apply_quarantine(reply.quarantine)
-                self._apply_share(reply.share, sent_at)
-                self._apply_permits(reply.limits, sent_at)
+                with logs.contain_bug('reply_broke', self._env.metrics):
+                    self._apply_reply(reply, sent_at)
             if reply is not None:
                 return
         logs.log_event('report_lost')
 
+    def _apply_reply(
+        self, reply: messages.EvidenceReply, sent_at: float
+    ) -> None:
+        self._apply_in_flight_sums(reply.payload)
+        self._apply_quarantine(reply.quarantine)
+        self._apply_share(reply.share, sent_at)
+        self._apply_permits(reply.limits, sent_at)
+
     def _apply_in_flight_sums(self, payload: bytes) -> None:
         """Update the load table from the leader's sums over all entries."""
         try:
--- a/packages/gateway/src/apricotthread/gateway/stallwatch.py
+++ b/packages/gateway/src/apricotthread/gateway/stallwatch.py
@@ -5,6 +5,7 @@
 import enum
 
 from apricotthread.base import environment
+from apricotthread.base import logs
 from apricotthread.endpoints import connections
 from apricotthread.fleet import view
 from apricotthread.gateway import exposures
@@ -126,7 +127,12 @@
                 continue
             was_left_out = False
             for attempt in list(self._attempts):
-                self._check(attempt, now)
+                with logs.contain_bug(
+                    'stall_check_broke',
+                    self._env.metrics,
+                    endpoint=attempt.replica.endpoint_id,
+                ):
+                    self._check(attempt, now)
 
     def _check(self, attempt: Attempt, now: float) -> None:
         stall = self._find_stall(attempt, now)
--- a/packages/groups/src/apricotthread/groups/assembly.py
+++ b/packages/groups/src/apricotthread/groups/assembly.py
@@ -63,7 +63,7 @@
 
     def _assemble(self, pick: _Pick) -> steps.Propose:
         model = pick.model
-        free = self.vms.free_by_domain[pick.domain]
+        free = self.vms.free_in(pick.domain)
         self.vms.ready.sort(free, model.name)
         members = free[: model.group_size]
         del free[: model.group_size]
@@ -179,7 +179,7 @@
             for group in self.vms.groups_by_domain.get(domain, ())
         ) or any(
             name != model.name
-            for name in self._planned_models_by_domain[domain]
+            for name in self._planned_models_by_domain.get(domain, ())
         )
 
     def _count_in_data_centre(
--- a/packages/groups/src/apricotthread/groups/formation.py
+++ b/packages/groups/src/apricotthread/groups/formation.py
@@ -85,7 +85,7 @@
             ready=self.ready,
             free_by_domain=self._find_free(),
             warming_by_domain=self._find_warming(),
-            groups_by_domain=groups_by_domain,
+            groups_by_domain=dict(groups_by_domain),
             taken_out_domains=frozenset(
                 vm.last_announcement.fabric_domain
                 for vm in self.vm_by_id.values()
@@ -130,13 +130,16 @@
     def _is_domain_settled(self, domain: str) -> bool:
         """Whether all idle VMs of a domain that come back are there.
 
-        So it is once their set has not changed for a while. Before the
-        first callers, VMs are found one by one and none is waited for.
+        So it is once their set has not changed for a while. A domain that
+        had no idle VM since this node started has none to wait for, and none
+        to use. Before the first callers, VMs are found one by one and none
+        is waited for.
         """
+        if not self.has_callers:
+            return True
+        tracked = self.free_since_by_domain.get(domain)
         return (
-            not self.has_callers
-            or self.now - self.free_since_by_domain[domain][1]
-            >= assembly.SETTLE_S
+            tracked is not None and self.now - tracked[1] >= assembly.SETTLE_S
         )
 
     def _find_cut_off(self) -> set[str]:
@@ -164,7 +167,7 @@
             if vm.is_usable and vm.endpoint_id not in self._held_vm_ids:
                 if vm.last_announcement.place is None and not vm.slow:
                     free[vm.last_announcement.fabric_domain].append(vm)
-        return free
+        return dict(free)
 
     def _find_warming(self) -> dict[str, list[steps.Vm]]:
         """Return the spares that are warming up for their model, by domain."""
@@ -173,7 +176,7 @@
             if vm.is_usable and vm.is_warming:
                 if vm.endpoint_id not in self._held_vm_ids:
                     warming[vm.last_announcement.fabric_domain].append(vm)
-        return warming
+        return dict(warming)
 
     # Existing groups
 
@@ -199,7 +202,7 @@
         weights to load.
         """
         slow = [vm for vm in vms if vm.slow]
-        free = self._pool.free_by_domain[group.fabric_domain]
+        free = self._pool.free_in(group.fabric_domain)
         ready = [
             vm for vm in free if not self.ready.needs_load(vm, group.model)
         ]
@@ -410,7 +413,7 @@
             return
         survivors = [vm for vm in vms if vm is not None and vm.is_usable]
         missing = len(group.members) - len(survivors)
-        free = self._pool.free_by_domain[group.fabric_domain]
+        free = self._pool.free_in(group.fabric_domain)
         usable = [vm for vm in free if self._may_join_now(vm, group.model)]
         self.ready.sort(usable, group.model)
         if len(usable) < missing:
@@ -524,7 +527,7 @@
         if model is None or model.load_share <= 0:
             return None
         return self._pool.pick_donor(
-            self._pool.groups_by_domain[needy.fabric_domain],
+            self._pool.groups_by_domain.get(needy.fabric_domain, ()),
             min_members=min_members,
             capacity_per_load=self._pool.capacity_per_load(model, change=-1),
         )
@@ -572,7 +575,7 @@
         for domain, groups in sorted(self._pool.groups_by_domain.items()):
             if any(group.state != 'serving' for group in groups):
                 return
-            free = len(self._pool.free_by_domain[domain])
+            free = len(self._pool.free_in(domain))
             donor = self._pool.pick_donor(
                 [group for group in groups if group.model != needy.name],
                 min_members=needy.group_size - free,
--- a/packages/groups/src/apricotthread/groups/formationmanager.py
+++ b/packages/groups/src/apricotthread/groups/formationmanager.py
@@ -197,6 +197,23 @@
     async def _run_plan(
         self, service: routetables.Service, now: float
     ) -> None:
+        planned = []
+        with logs.contain_bug(
+            'plan_broke', self._env.metrics, service=service.name
+        ):
+            planned = self._make_plan(service, now)
+        for step in planned:
+            match step:
+                case steps.Propose():
+                    await self._propose(step)
+                case steps.Join(needs_load=True) | steps.Stage():
+                    self._order_load(step, service.engine, now)
+                case _:
+                    self._order(step, now)
+
+    def _make_plan(
+        self, service: routetables.Service, now: float
+    ) -> list[steps.Step]:
         vm_by_id = {
             endpoint_id: steps.Vm(
                 last_announcement=record.announcement,
@@ -235,14 +252,7 @@
             evidence_of=self._evidence_store.get_evidence,
         ).plan()
         self._update_metrics(service, vm_by_id)
-        for step in planned:
-            match step:
-                case steps.Propose():
-                    await self._propose(step)
-                case steps.Join(needs_load=True) | steps.Stage():
-                    self._order_load(step, service.engine, now)
-                case _:
-                    self._order(step, now)
+        return planned
 
     def _update_metrics(
         self,
--- a/packages/groups/src/apricotthread/groups/manager.py
+++ b/packages/groups/src/apricotthread/groups/manager.py
@@ -120,9 +120,11 @@
     async def _run_plan(self) -> None:
         if not self._has_heard_all_vms():
             return
-        plan_input = self._make_input()
-        self._update_metrics(plan_input)
-        planned = planner.make_plan(plan_input)
+        planned = []
+        with logs.contain_bug('plan_broke', self._env.metrics):
+            plan_input = self._make_input()
+            self._update_metrics(plan_input)
+            planned = planner.make_plan(plan_input)
         await asyncio.gather(*(self._execute(a) for a in planned))
 
     def _make_input(self) -> planner.PlanInput:
--- a/packages/groups/src/apricotthread/groups/pool.py
+++ b/packages/groups/src/apricotthread/groups/pool.py
@@ -29,6 +29,10 @@
     is_domain_settled: collections.abc.Callable[[str], bool]
     count_by_model: collections.Counter[str]
 
+    def free_in(self, domain: str) -> list[steps.Vm]:
+        """Return the idle VMs of a domain, an empty list if it has none."""
+        return self.free_by_domain.get(domain, [])
+
     @property
     def models(self) -> list[routetables.ModelProfile]:
         """The models that have a share of the load."""
--- a/packages/groups/src/apricotthread/groups/prober.py
+++ b/packages/groups/src/apricotthread/groups/prober.py
@@ -96,15 +96,19 @@
         async for now in self._env.timer.subscribe(period_s=CHECK_PERIOD_S):
             if not self._raft.holds_lease():
                 continue
-            groups = self._raft.state.content.group_ledger.groups()
-            self._evidence_store.keep_only(
-                {(g.group_id, g.fencing) for g in groups}
-            )
-            suspect_ids = self._find_suspects(groups, now)
-            for endpoint_id in self._failures_by_id.keys() - suspect_ids:
-                del self._failures_by_id[endpoint_id]
-            for endpoint_id in suspect_ids:
-                self._start_probe(endpoint_id, now)
+            with logs.contain_bug('probes_broke', self._env.metrics):
+                self._probe_suspects(now)
+
+    def _probe_suspects(self, now: float) -> None:
+        groups = self._raft.state.content.group_ledger.groups()
+        self._evidence_store.keep_only(
+            {(g.group_id, g.fencing) for g in groups}
+        )
+        suspect_ids = self._find_suspects(groups, now)
+        for endpoint_id in self._failures_by_id.keys() - suspect_ids:
+            del self._failures_by_id[endpoint_id]
+        for endpoint_id in suspect_ids:
+            self._start_probe(endpoint_id, now)
 
     def _find_suspects(
         self, groups: collections.abc.Iterable[ledger.Group], now: float
--- a/packages/groups/src/apricotthread/groups/spares.py
+++ b/packages/groups/src/apricotthread/groups/spares.py
@@ -103,7 +103,7 @@
         self._loaded_by_model = collections.defaultdict(list)
         for vm in [
             *vms.warming_by_domain.get(domain, ()),
-            *vms.free_by_domain[domain],
+            *vms.free_in(domain),
         ]:
             staging = vms.ready.staging_by_incarnation.get(vm.incarnation_id)
             staged = [
--- a/tests/test_formation.py
+++ b/tests/test_formation.py
@@ -253,3 +253,37 @@
         loading=frozenset({loading.incarnation_id}),
     )
     assert sum(int(spare.split()[2]) for spare in spares) == 11
+
+
+def make_small_fleet() -> formationworld.World:
+    """Return a served fleet of two domains, without a VM to spare.
+
+    The model `large` has two groups, `small` one.
+    """
+    small = formationworld.World()
+    small.profile = formationworld.make_profile(
+        sizes={'large': 3, 'small': 2}, shares={'large': 0.67, 'small': 0.33}
+    )
+    small.add('a1', 6)
+    small.add('b1', 2)
+    small.settle()
+    assert small.serving() == {'large': 2, 'small': 1}
+    small.has_callers = True
+    return small
+
+
+@pytest.mark.parametrize('how', ['lost', 'taken_out'])
+def test_a_leader_that_never_saw_idle_vms_plans_for_a_model_without_group(
+    how,
+):
+    """Guards against control nodes that end as a domain has no idle VM."""
+    fleet = make_small_fleet()
+    fleet.free_since_by_domain = {}
+    if how == 'lost':
+        group = fleet.group_of('small')
+        fleet.change(group.members[1].endpoint_id, lost=True)
+    else:
+        fleet.taken_out = frozenset({'b'})
+    fleet.settle(rounds=30)
+    # No idle VM is there to form the group of, and none that serves is taken.
+    assert fleet.serving()['large'] == 2
