--- a/bench/proofs.py
+++ b/bench/proofs.py
@@ -698,7 +698,7 @@
     Removal(
         mechanism='a resumed stream goes on with the next id',
         module='gateway/events.py',
-        code='self._is_resumed = self._has_last_id',
+        code='self._is_resumed = self.last_id is not None',
         instead='self._is_resumed = False',
         test='tests/test_errors_after_broken_streams.py::test_an_error_after_'
         'a_broken_stream_is_no_part_of_it[error event in the stream]',
--- a/packages/gateway/src/apricotthread/gateway/attempts.py
+++ b/packages/gateway/src/apricotthread/gateway/attempts.py
@@ -103,7 +103,7 @@
         state: AttemptState,
         choice: placement.Choice,
         *,
-        last_event_id: int = 0,
+        last_event_id: int | None = None,
     ) -> None:
         self._endpoints = endpoints
         self._request = request
@@ -111,7 +111,9 @@
         self._replica = choice.candidate.replica
         self._last_event_id = last_event_id
         self._urgency = (
-            placement.Urgency.RESUMED if last_event_id else choice.urgency
+            choice.urgency
+            if last_event_id is None
+            else placement.Urgency.RESUMED
         )
         self._is_deferred = False
         self._connection: connections.EndpointConnection | None = None
--- a/packages/gateway/src/apricotthread/gateway/events.py
+++ b/packages/gateway/src/apricotthread/gateway/events.py
@@ -25,11 +25,13 @@
     returned before are dropped, and a gap in the ids is an error. So is
     anything else before the next id: the endpoint may have answered with the
     text of an error.
+
+    `last_id` is the id of the last event that was returned, None if none was:
+    0 is an id like any other.
     """
 
-    def __init__(self, *, last_id: int) -> None:
+    def __init__(self, *, last_id: int | None) -> None:
         self.last_id = last_id
-        self._has_last_id = last_id > 0
         self._incomplete = b''
         self._is_resumed = False
         # Whether the present endpoint has gone on where the last one ended.
@@ -38,7 +40,7 @@
     def restart(self) -> None:
         """Drop an incomplete event, before the stream is resumed elsewhere."""
         self._incomplete = b''
-        self._is_resumed = self._has_last_id
+        self._is_resumed = self.last_id is not None
         self._has_gone_on = False
 
     @property
@@ -62,12 +64,12 @@
             raise BrokenStream('an event is longer than the limit')
         if not complete_end:
             return b''
-        known = self.last_id, self._has_last_id
+        known = self.last_id
         try:
             return self._select_new(data[:complete_end])
         except BrokenStream:
             # None of these events is returned, so they are still to come.
-            self.last_id, self._has_last_id = known
+            self.last_id = known
             raise
 
     def _select_new(self, complete: bytes) -> bytes:
@@ -101,13 +103,13 @@
             raise BrokenStream(
                 f'the event id {text[:20]!r} is not a number'
             ) from None
-        if event_id <= self.last_id and self._has_last_id:
-            return False
-        if self._has_last_id and event_id != self.last_id + 1:
-            raise BrokenStream(
-                f'event {event_id} follows event {self.last_id}'
-            )
-        self._has_last_id = True
+        if self.last_id is not None:
+            if event_id <= self.last_id:
+                return False
+            if event_id != self.last_id + 1:
+                raise BrokenStream(
+                    f'event {event_id} follows event {self.last_id}'
+                )
         self.last_id = event_id
         return True
 
--- a/packages/gateway/src/apricotthread/gateway/requests.py
+++ b/packages/gateway/src/apricotthread/gateway/requests.py
@@ -16,7 +16,7 @@
 
     `target` is the path with the query, as sent. `key` is the API key.
     `time_left_s` is None if the caller sets no limit. `last_event_id` is
-    0 unless the caller resumes a stream after that event. `output_tokens`
+    None unless the caller resumes a stream after that event. `output_tokens`
     is the most tokens that the answer may have. `shared_parts` are the ids
     of the parts of the prompt that other requests may have as well, in order.
     """
@@ -29,7 +29,7 @@
     headers: Headers
     key: str
     time_left_s: float | None
-    last_event_id: int
+    last_event_id: int | None
     model: str
     prompt_tokens: int
     output_tokens: int
@@ -99,7 +99,7 @@
         address: str,
         endpoint_id: str,
         time_left_s: float,
-        last_event_id: int,
+        last_event_id: int | None,
         urgency: placement.Urgency,
     ) -> bytes:
         """Return the bytes of a request to an endpoint, head and body."""
--- a/tests/retryworld.py
+++ b/tests/retryworld.py
@@ -441,7 +441,7 @@
                         headers=[(b'attempt-id', request_id.encode())],
                         key='',
                         time_left_s=None,
-                        last_event_id=0,
+                        last_event_id=None,
                         model='',
                         prompt_tokens=0,
                         output_tokens=0,
--- a/tests/test_errors_after_broken_streams.py
+++ b/tests/test_errors_after_broken_streams.py
@@ -13,6 +13,7 @@
 from apricotthread.gateway import requesttrace
 from apricotthread.platform import callers
 from tests import test_forwarder
+from tests import test_unframed_streams
 
 EVENTS = 6
 BEGUN = 3  # events that come before the stream breaks off
@@ -152,10 +153,7 @@
     forward = test_forwarder.make_forwarder(env, pool, addresses)
     dialect = callers.PlatformDialect()
     forward._dialect.parse_answer = dialect.parse_answer
-    forward._dialect.build_request = lambda request, **values: (
-        b'POST / HTTP/1.1\r\nlast-event-id: %d\r\n\r\n'
-        % values['last_event_id']
-    )
+    forward._dialect.build_request = test_unframed_streams.build_stub_request
     sink = CollectingSink()
     is_cut = False
     try:
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -26,7 +26,7 @@
 
 
 def test_an_event_that_comes_with_a_gap_is_asked_for_again():
-    splitter = events.EventSplitter(last_id=0)
+    splitter = events.EventSplitter(last_id=None)
     splitter.feed(make_event(1))
     with pytest.raises(events.BrokenStream):
         splitter.feed(make_event(2) + make_event(4))
@@ -46,7 +46,7 @@
     cuts, broken_at
 ):
     whole = b''.join(make_event(n) for n in range(1, 13))
-    splitter = events.EventSplitter(last_id=0)
+    splitter = events.EventSplitter(last_id=None)
     first = whole[:broken_at]
     returned = b''
     cut_positions = sorted(
@@ -55,7 +55,9 @@
     for start, end in zip(cut_positions, cut_positions[1:], strict=False):
         returned += splitter.feed(first[start:end])
     splitter.restart()
-    resumed = b''.join(make_event(n) for n in range(splitter.last_id + 1, 13))
+    resumed = b''.join(
+        make_event(n) for n in range((splitter.last_id or 0) + 1, 13)
+    )
     returned += splitter.feed(resumed)
     assert returned == whole
     assert splitter.is_between_events
@@ -74,13 +76,13 @@
 
 
 def test_an_event_id_that_is_not_a_number_is_an_error():
-    splitter = events.EventSplitter(last_id=0)
+    splitter = events.EventSplitter(last_id=None)
     with pytest.raises(events.BrokenStream):
         splitter.feed(b'id: x\ndata: y\n\n')
 
 
 def test_an_incomplete_event_is_not_returned():
-    splitter = events.EventSplitter(last_id=0)
+    splitter = events.EventSplitter(last_id=None)
     assert splitter.feed(make_event(1)[:-1]) == b''
     assert not splitter.is_between_events
 
@@ -92,7 +94,7 @@
 
 
 def test_an_event_without_end_is_an_error_of_bounded_size():
-    splitter = events.EventSplitter(last_id=0)
+    splitter = events.EventSplitter(last_id=None)
     fed = 0
     with pytest.raises(events.BrokenStream):
         splitter.feed(make_event(1))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -291,7 +291,7 @@
     return list(headers.items())
 
 
-def build_worker_request(dialect, headers, body=b'text'):
+def build_worker_request(dialect, headers, body=b'text', *, last_event_id=14):
     """Return the bytes of the request that a worker receives."""
     table = configs.read_config(encode(CONFIG))
     caller = dialect.parse_request('POST', b'/lots/2f?x=1', headers)
@@ -309,7 +309,7 @@
         address='10.0.0.1:80',
         endpoint_id='i-7',
         time_left_s=7.25,
-        last_event_id=14,
+        last_event_id=last_event_id,
         urgency=placement.Urgency.DEFERRED,
     )
 
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -109,7 +109,7 @@
     headers=[],
     key='',
     time_left_s=None,
-    last_event_id=0,
+    last_event_id=None,
     model=MODEL,
     prompt_tokens=500,
     output_tokens=EVENTS * 6,
@@ -212,7 +212,7 @@
 
     def build_request(self, request, *, last_event_id, **values):
         """Have the next connection go on after an event."""
-        self._pool.first_event = last_event_id + 1
+        self._pool.first_event = (last_event_id or 0) + 1
         return b''
 
     def parse_answer(self, answer):
--- a/tests/test_unframed_streams.py
+++ b/tests/test_unframed_streams.py
@@ -74,7 +74,14 @@
     )
 
 
-async def play(server, *, attempts=2):
+def build_stub_request(request, *, last_event_id, **values):
+    """Return a request that names event 0 if there was none."""
+    return b'POST / HTTP/1.1\r\nlast-event-id: %d\r\n\r\n' % (
+        last_event_id or 0
+    )
+
+
+async def play(server, *, attempts=2, build_request=build_stub_request):
     """Request the stream; return the sink, and whether it was cut."""
     env = environment.make_environment()
     listening = [
@@ -86,10 +93,7 @@
     ]
     pool = connections.ConnectionPool(env=env, max_idle=4)
     forward = test_forwarder.make_forwarder(env, pool, addresses)
-    forward._dialect.build_request = lambda request, **values: (
-        b'POST / HTTP/1.1\r\nlast-event-id: %d\r\n\r\n'
-        % values['last_event_id']
-    )
+    forward._dialect.build_request = build_request
     sink = CollectingSink()
     request = test_forwarder.make_request(
         env, msgspec.structs.replace(ROUTE, max_attempts=attempts)
