Read the numbers of headers within bounds

Cause: the load was stored as an integer before it was made a float, so the request, each later placement of the service, and the check of slow requests raised OverflowError; the last of them ended the process.

Change: base/numbers reads what is a whole or decimal number of ASCII digits within bounds; loads beyond the connections of a worker count for nothing. It is in base, not in platform/, as Keep-Alive is read below the platform. Class: `²` in a load broke a request (isdigit), a load of 999999 raised the mean of its model, Keep-Alive of 400 digits kept connections for good, cold times and paces had no bounds.

--- a/packages/base/src/apricotthread/base/decoding.py
+++ b/packages/base/src/apricotthread/base/decoding.py
@@ -17,4 +17,5 @@
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 Integer = typing.Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 Rate = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Factor = typing.Annotated[float, msgspec.Meta(gt=0, le=MAX_COUNT)]
 Ordinal = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
--- a/packages/endpoints/src/apricotthread/endpoints/connections.py
+++ b/packages/endpoints/src/apricotthread/endpoints/connections.py
@@ -10,6 +10,7 @@
 
 from apricotthread.base import environment
 from apricotthread.base import errors
+from apricotthread.base import numbers
 from apricotthread.base import units
 
 # A running VM in the same region accepts within milliseconds.
@@ -19,6 +20,7 @@
 # A request that must not be repeated only reuses connections idle for less.
 FRESH_IDLE_S = 0.25
 DEFAULT_IDLE_S = 5.0  # if an endpoint names no idle timeout
+MAX_IDLE_S = 600.0
 READ_AHEAD_BYTES = 64 * units.KIB
 # What an endpoint may send without a byte of a body: a head, trailers, or
 # the framing of a body.
@@ -185,8 +187,10 @@
             self._is_complete = True
         for part in self._answer.get(b'keep-alive').split(','):
             key, _, value = part.strip().partition('=')
-            if key == 'timeout' and value.isdigit():
-                self.idle_limit_s = float(value)
+            if key == 'timeout':
+                idle_limit_s = numbers.parse_clamped(value, maximum=MAX_IDLE_S)
+                if idle_limit_s is not None:
+                    self.idle_limit_s = idle_limit_s
 
     def on_body(self, body: bytes) -> None:
         """Buffer a piece of the body."""
--- a/packages/fakes/src/apricotthread/fakes/placementsimulation.py
+++ b/packages/fakes/src/apricotthread/fakes/placementsimulation.py
@@ -270,8 +270,7 @@
         self._load_tables[stream.entry].note_load(
             stream.group_id,
             model=MODEL.name,
-            running=group.running,
-            waiting=len(group.queue),
+            requests=group.running + len(group.queue),
         )
 
     def _end_stream(self, group: _Group, stream: _Stream) -> None:
--- a/packages/gateway/src/apricotthread/gateway/forwarder.py
+++ b/packages/gateway/src/apricotthread/gateway/forwarder.py
@@ -593,13 +593,7 @@
             self._limits.observe(
                 replica.endpoint_id, metadata, sent_at=attempt.started_at
             )
-        if metadata.running is not None:
-            self._loads.note_load(
-                replica.endpoint_id,
-                model=replica.model,
-                running=metadata.running,
-                waiting=metadata.waiting,
-            )
+        self._note_load(request, replica, metadata)
         if metadata.not_run:
             raise attempts.AttemptFailure(
                 reason=f'not run, status {answer.status}', not_run=True
@@ -611,6 +605,31 @@
             )
         return metadata
 
+    def _note_load(
+        self,
+        request: requests.RoutedRequest,
+        replica: view.Replica,
+        metadata: requests.AnswerMetadata,
+    ) -> None:
+        """Update the load of an endpoint, unless it can not have that many.
+
+        Each request at an endpoint holds one of its connections. A load
+        beyond them would keep requests away from the endpoint, and raise the
+        mean load of its model, for seconds.
+        """
+        possible = max(request.service.max_connections, replica.slots)
+        if metadata.is_load_odd or (
+            metadata.load is not None and metadata.load.total > possible
+        ):
+            self._env.metrics.count('odd_loads')
+            return
+        if metadata.load is not None:
+            self._loads.note_load(
+                replica.endpoint_id,
+                model=replica.model,
+                requests=metadata.load.total,
+            )
+
     def _make_status_failure(
         self,
         replica: view.Replica,
--- a/packages/gateway/src/apricotthread/gateway/loads.py
+++ b/packages/gateway/src/apricotthread/gateway/loads.py
@@ -68,14 +68,14 @@
         return load
 
     def note_load(
-        self, endpoint_id: str, *, model: str, running: int, waiting: int
+        self, endpoint_id: str, *, model: str, requests: int
     ) -> None:
         """Update an endpoint's load from a response.
 
-        `running` and `waiting` count the requests at the endpoint.
+        `requests` counts those that run or wait at the endpoint.
         """
         load = self.get_load(endpoint_id)
-        load.others_in_flight = max(0.0, running + waiting - load.in_flight)
+        load.others_in_flight = max(0.0, requests - load.in_flight)
         load.others_updated_at = self._env.timer.now()
         mean = self._mean_others_by_model[model]
         self._mean_others_by_model[model] += (
--- a/packages/gateway/src/apricotthread/gateway/requests.py
+++ b/packages/gateway/src/apricotthread/gateway/requests.py
@@ -56,14 +56,27 @@
     can_be_on_time: bool = True
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EndpointLoad:
+    """How many requests an endpoint runs, and how many wait there."""
+
+    running: int
+    waiting: int
+
+    @property
+    def total(self) -> int:
+        """The number of requests at the endpoint."""
+        return self.running + self.waiting
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class AnswerMetadata:
     """What the head of an endpoint's answer says about the answer.
 
     `is_sealed` says whether the answer carries a signature, `not_run`
-    whether the endpoint states that it never ran the request. `running`
-    and `waiting` count the requests at the endpoint; `running` is None if
-    the endpoint does not report its load. `at_fault` is the server that
+    whether the endpoint states that it never ran the request. `load` is None
+    if the endpoint does not report its load, or, with `is_load_odd`, what is
+    no load. `at_fault` is the server that
     the answer names as the one at fault, if any. `limit_per_s` is how many
     requests a second the endpoint takes from all entries together, None if it
     names no limit; `is_limit_odd` means that it names one that is no number
@@ -74,8 +87,8 @@
     is_sealed: bool
     not_run: bool
     endpoint_id: str
-    running: int | None = None
-    waiting: int = 0
+    load: EndpointLoad | None = None
+    is_load_odd: bool = False
     at_fault: str = ''
     limit_per_s: float | None = None
     is_limit_odd: bool = False
--- a/tests/test_gateway_parts.py
+++ b/tests/test_gateway_parts.py
@@ -274,7 +274,7 @@
     async def main():
         table = loads.LoadTable(env=env)
         table.start('g1')
-        table.note_load('g1', model='m', running=9, waiting=2)
+        table.note_load('g1', model='m', requests=11)
         assert table.estimate('g1', model='m') == 11
         await env.timer.sleep(20.0)
         assert table.estimate('g1', model='m') < 5
@@ -287,7 +287,7 @@
 def test_the_mean_of_a_model_comes_from_the_sums_of_all_entries(env):
     async def main():
         table = loads.LoadTable(env=env)
-        table.note_load('g1', model='m', running=19, waiting=8)
+        table.note_load('g1', model='m', requests=27)
         table.start('g1')
         table.start('g2')
         assert table.report_in_flight() == {'g1': 1, 'g2': 1}
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -378,7 +378,7 @@
         )
     )
     assert metadata.not_run
-    assert (metadata.running, metadata.waiting) == (3, 1)
+    assert metadata.load == requests.EndpointLoad(running=3, waiting=1)
     assert not dialect.parse_answer(
         connections.Answer(status=503, headers=[])
     ).not_run
