Take a data centre out or back only while the caller waits

Cause: such an order names no version. The node counted the caller's wait from when it began to handle the order, and proposed it again, based on the newest version, after the conflict check had refused it.

Change: before each proposal the node asks whether the caller waits, a moment after it read the order, and after a pause of 0.5 s or more it takes none for as long as that lasted (1 to 10 s).

--- a/packages/daemon/src/apricotthread/daemon/controlservice.py
+++ b/packages/daemon/src/apricotthread/daemon/controlservice.py
@@ -7,6 +7,7 @@
 from apricotthread.base import environment
 from apricotthread.base import errors
 from apricotthread.base import logs
+from apricotthread.base import pauses
 from apricotthread.control import commands
 from apricotthread.control import proposals
 from apricotthread.control import replica
@@ -22,6 +23,10 @@
 # The platform's callers wait a second for an answer.
 CALLER_WAIT_S = 0.8
 MARK_RETRY_S = 0.05
+# The end of a connection is read after what was sent before it.
+CALLER_CHECK_S = 0.02
+
+CallerCheck = collections.abc.Callable[[], collections.abc.Awaitable[bool]]
 
 
 class ControlService:
@@ -35,6 +40,7 @@
         proposer: proposals.Proposer,
         fleet_publisher: publisher.Publisher,
         link_by_id: dict[str, links.PeerLink],
+        pause_detector: pauses.PauseDetector,
         data_centres: collections.abc.Iterable[str],
         get_table: collections.abc.Callable[[], routetables.RouteTable | None],
     ) -> None:
@@ -43,6 +49,7 @@
         self._proposer = proposer
         self._fleet_publisher = fleet_publisher
         self._link_by_id = link_by_id
+        self._pauses = pause_detector
         self._data_centres = frozenset(data_centres)
         self._get_table = get_table
 
@@ -147,12 +154,19 @@
         return messages.DocumentReply(version=version, document=document)
 
     async def mark_data_centre(
-        self, data_centre: str, *, out: bool, source: str
+        self,
+        data_centre: str,
+        *,
+        out: bool,
+        source: str,
+        is_caller_waiting: CallerCheck,
     ) -> None:
         """Take a data centre out, or bring it back.
 
-        If operators change the same mark through another node meanwhile,
-        the call may still take effect while its caller waits, but not later.
+        The call names no version that it is based on, so one that comes late
+        could undo a newer one. So it takes effect only while its caller waits
+        for it, also if the mark was changed meanwhile or this node is behind.
+        Else it is to be sent again.
         Raises ApricotError with code UNKNOWN_ROW or NO_QUORUM.
         """
         if data_centre not in self._data_centres:
@@ -161,27 +175,50 @@
                 message=f'there is no data centre {data_centre!r}',
             )
         deadline = self._env.timer.now() + CALLER_WAIT_S
-        while not await self._try_to_mark(data_centre, out=out, source=source):
-            if self._env.timer.now() >= deadline:
-                raise errors.ApricotError(
-                    code=errors.ErrorCode.NO_QUORUM,
-                    message=f'the mark of {data_centre!r} was changed before '
-                    'this node reached a majority; send the change again',
-                    retry_after_s=MARK_RETRY_S,
-                )
-            await self._env.timer.sleep(MARK_RETRY_S)
-
-    async def _try_to_mark(
-        self, data_centre: str, *, out: bool, source: str
+        why_late = ''
+        while not why_late:
+            base_version = self._raft.state.version
+            why_late = await self._find_why_late(deadline, is_caller_waiting)
+            if not why_late and await self._propose_mark(
+                data_centre, out=out, source=source, base_version=base_version
+            ):
+                return
+        logs.log_event(
+            'late_mark_refused',
+            data_centre=data_centre,
+            out=out,
+            source=source,
+            reason=why_late,
+        )
+        raise errors.ApricotError(
+            code=errors.ErrorCode.NO_QUORUM,
+            message=f'{data_centre!r} is not marked: {why_late}; send the '
+            'change again',
+            retry_after_s=MARK_RETRY_S,
+        )
+
+    async def _find_why_late(
+        self, deadline: float, is_caller_waiting: CallerCheck
+    ) -> str:
+        """Return why a call may have been replaced by now, empty if not."""
+        if self._pauses.may_be_old():
+            return 'this node stood still, so the call may be old'
+        if self._env.timer.now() >= deadline:
+            return 'the mark was changed meanwhile'
+        await self._env.timer.sleep(CALLER_CHECK_S)
+        return '' if await is_caller_waiting() else 'its caller has left'
+
+    async def _propose_mark(
+        self, data_centre: str, *, out: bool, source: str, base_version: int
     ) -> bool:
-        """Propose a mark; return False if it was changed since.
+        """Propose a mark; return False if it was changed after the version.
 
         Also a change that this node has not applied yet counts.
         """
         result = await self._proposer.propose(
             commands.MarkDataCentre(
                 origin=self._make_origin(self._env.new_id(), source),
-                base_version=self._raft.state.version,
+                base_version=base_version,
                 data_centre=data_centre,
                 out=out,
                 force=True,
--- a/packages/daemon/src/apricotthread/daemon/fleetnode.py
+++ b/packages/daemon/src/apricotthread/daemon/fleetnode.py
@@ -11,6 +11,7 @@
 from apricotthread.base import environment
 from apricotthread.base import errors
 from apricotthread.base import logs
+from apricotthread.base import pauses
 from apricotthread.base import settings as node_settings
 from apricotthread.base import units
 from apricotthread.control import admissions
@@ -113,6 +114,7 @@
         self.pool = pool or endpoint_connections.ConnectionPool(
             env=env, max_idle=MAX_IDLE_CONNECTIONS
         )
+        self.pauses = pauses.PauseDetector(env=env)
         self.control = ControlComponents(node=self) if own.is_voter else None
         self.entry = EntryComponents(node=self) if own.is_entry else None
         self.peer_discovery = discovery.Discovery(
@@ -214,6 +216,7 @@
     async def run_components(self) -> None:
         """Run all but the HTTP listeners until cancelled."""
         async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.pauses.run())
             tasks.create_task(self.peer_server.run())
             tasks.create_task(self.members.run(self._make_heartbeat))
             tasks.create_task(self._flush_log())
@@ -456,6 +459,7 @@
             proposer=self.proposer,
             fleet_publisher=self.fleet_publisher,
             link_by_id=members.link_by_id,
+            pause_detector=node.pauses,
             data_centres=known.data_centres,
             get_table=self.get_table,
         )
@@ -617,6 +621,7 @@
             fleet=self.fleet,
             dialect=dialect,
             forward=self.forwarder,
+            pause_detector=node.pauses,
         )
 
     def _on_table(self, table: routetables.RouteTable) -> None:
--- a/packages/gateway/src/apricotthread/gateway/application.py
+++ b/packages/gateway/src/apricotthread/gateway/application.py
@@ -10,6 +10,7 @@
 from apricotthread.base import environment
 from apricotthread.base import errors
 from apricotthread.base import logs
+from apricotthread.base import pauses
 from apricotthread.control import routetables
 from apricotthread.fleet import view
 from apricotthread.gateway import forwarder
@@ -19,6 +20,8 @@
 from apricotthread.gateway import routes
 
 NO_TABLE_RETRY_S = 0.5
+# After a pause the end of a connection is read after the request before it.
+CALLER_CHECK_S = 0.02
 STOPPING_RETRY_S = 0.05  # another entry can take the request at once
 
 
@@ -88,8 +91,10 @@
         fleet: view.FleetView,
         dialect: requests.Dialect,
         forward: forwarder.Forwarder,
+        pause_detector: pauses.PauseDetector,
     ) -> None:
         self._env = env
+        self._pauses = pause_detector
         self._fleet = fleet
         self._dialect = dialect
         self._forwarder = forward
@@ -302,6 +307,8 @@
         watch_task = asyncio.create_task(watch_disconnect())
         self._open_tasks.add(request_task)
         try:
+            if self._pauses.may_be_old():
+                await self._env.timer.sleep(CALLER_CHECK_S)
             await self._forwarder.forward(request, sink, request_trace)
         except asyncio.CancelledError:
             if is_disconnected:
--- a/tests/controlworld.py
+++ b/tests/controlworld.py
@@ -13,6 +13,7 @@
 from apricotthread.base import environment
 from apricotthread.base import errors
 from apricotthread.base import metrics
+from apricotthread.base import pauses
 from apricotthread.base import settings
 from apricotthread.control import admissions
 from apricotthread.control import audit
@@ -97,12 +98,14 @@
         proposer = proposals.Proposer(
             env=env, raft=self.raft, link_by_id=link_by_id, lease_s=LEASE_S
         )
+        self.pauses = pauses.PauseDetector(env=env)
         self.service = controlservice.ControlService(
             env=env,
             raft=self.raft,
             proposer=proposer,
             fleet_publisher=None,
             link_by_id=link_by_id,
+            pause_detector=self.pauses,
             data_centres=DATA_CENTRES,
             get_table=lambda: None,
         )
@@ -156,6 +159,7 @@
         """Run until cancelled, or until a component fails."""
         await self.raft.load()
         async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.pauses.run())
             tasks.create_task(self._server.run())
             tasks.create_task(self.members.run(self._make_heartbeat))
             tasks.create_task(self.raft.run())
@@ -285,12 +289,28 @@
         )
 
     async def mark(
-        self, data_centre: str, *, out: bool, at: str | None = None
+        self,
+        data_centre: str,
+        *,
+        out: bool,
+        at: str | None = None,
+        waits: bool = True,
     ) -> None:
-        """Take a data centre out or bring it back, at one node."""
+        """Take a data centre out or bring it back, at one node.
+
+        The caller has left by the time at which the node asks unless it
+        `waits`.
+        """
+
+        async def is_caller_waiting():
+            return waits
+
         node = self.node_by_id[at or sorted(self.node_by_id)[0]]
         await node.service.mark_data_centre(
-            data_centre, out=out, source='test'
+            data_centre,
+            out=out,
+            source='test',
+            is_caller_waiting=is_caller_waiting,
         )
 
     async def read(self) -> int:
--- a/tests/test_lost_disks.py
+++ b/tests/test_lost_disks.py
@@ -189,3 +189,42 @@
         assert content.taken_out == ['dc1', 'dc2']
 
     run_world(scenario)
+
+
+def test_a_mark_whose_caller_has_left_does_not_take_effect(run_world):
+    """Guards against an order that its operator has replaced by a newer one.
+
+    It had waited in the network, or in the buffers of a node.
+    """
+
+    async def scenario(world):
+        await world.mark('dc1', out=True)
+        for node_id in world.seed_ids:
+            with pytest.raises(errors.ApricotError) as caught:
+                await world.mark('dc1', out=False, at=node_id, waits=False)
+            assert caught.value.code is errors.ErrorCode.NO_QUORUM
+        content = world.node_by_id[world.leader()].raft.state.content
+        assert content.taken_out == ['dc1']
+
+    run_world(scenario)
+
+
+def test_a_mark_read_after_a_pause_does_not_take_effect(run_world):
+    """Guards against an old withdrawal that a frozen node reads on waking."""
+
+    async def scenario(world):
+        await world.mark('dc1', out=True)
+        asyncio.get_running_loop().pause_process(6.0)
+        for node_id in world.seed_ids:
+            with pytest.raises(errors.ApricotError) as caught:
+                await world.mark('dc1', out=False, at=node_id)
+            assert caught.value.code is errors.ErrorCode.NO_QUORUM
+        await world.env.timer.sleep(6.5)
+        assert world.voters()
+        content = world.node_by_id[world.leader()].raft.state.content
+        assert content.taken_out == ['dc1']
+        await world.mark('dc1', out=False)
+        content = world.node_by_id[world.leader()].raft.state.content
+        assert content.taken_out == []
+
+    run_world(scenario)
