Play answers without end before real nodes, and measure their memory

Reported by other operators: bytes without end in a head or a body fill the memory of the machine that called. Tried here on real nodes: nine kinds of answers without end (heads, one header, interim answers, bodies, chunks, chunk extensions, trailers, bytes after an answer, no answer), of a worker for calls and one for streams, beside three sound ones each, also to what control nodes call.

--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,7 @@
 EDITABLE = $(foreach package,$(PACKAGES),-e packages/$(package)) -e platform
 # Tests of real processes and disks, which need the machine for themselves.
 REAL = tests/test_bad_engines.py tests/test_bad_services.py \
+	tests/test_bytes_without_end.py \
 	tests/test_crashing_prompts.py \
 	tests/test_childprocesses.py tests/test_cut_heads.py \
 	tests/test_failed_tests.py tests/test_fleet_streams.py \
