Ask again at the moment of sending whether an endpoint takes requests

Workers that said in answers that they leave (Server-Leaving) or are busy (503 with Retry-After) got requests all the same.

Cause: the question was asked while placing only, nothing was remembered of what answers say, and a refused attempt counted like one that ran. An endpoint that refuses at once looks idle and draws the requests. Ruled out: the reported load (it is the same without the header).

Change: gateway/standings, asked while placing and by AttemptContext last. Leaving is final for an incarnation, reported to the leader, and told to all. Busy times bind from each answer; after them, and after refusals without a time (holds of 50 or 200 ms that double), one request at a time finds out. Up to two refusals count as no attempt. Odd values count as none.

--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 	tests/test_named_limits_on_real_nodes.py \
 	tests/test_retries_on_real_nodes.py \
 	tests/test_signals.py tests/test_soak_run.py \
+	tests/test_standings_on_real_nodes.py \
 	tests/test_storage.py tests/test_system.py
 # Known failures: the tests that KNOWN-RED.txt names do not gate.
 KNOWN_RED = $(shell sed -n 's/^  test: *\(tests\/[^ ]*\)$$/--deselect=\1/p' KNOWN-RED.txt)
--- a/bench/proofs.py
+++ b/bench/proofs.py
@@ -767,6 +767,78 @@
         test='tests/test_announced_limits.py::test_an_endpoint_gets_what_it_'
         'announces_to_take',
     ),
+    Removal(
+        mechanism='a domain that was never seen with idle VMs is not settled',
+        module='groups/formation.py',
+        code='tracked = self.free_since_by_domain.get(domain)',
+        instead='tracked = self.free_since_by_domain[domain]',
+        test='tests/test_formation.py::test_a_leader_that_never_saw_idle_vms_'
+        'plans_for_a_model_without_group',
+    ),
+    Removal(
+        mechanism='a load beyond the connections of an endpoint is none',
+        module='gateway/forwarder.py',
+        code='metadata.load.total > possible',
+        instead='False',
+        test='tests/test_numbers_from_outside.py::test_a_spoiled_load_fails_'
+        'no_request_and_moves_none',
+    ),
+    Removal(
+        mechanism='an order is carried out only while its caller waits',
+        module='daemon/controlservice.py',
+        code="return '' if await is_caller_waiting() else 'its caller has left'",
+        instead="return ''",
+        test='tests/test_lost_disks.py::test_a_mark_whose_caller_has_left_does'
+        '_not_take_effect',
+    ),
+    Removal(
+        mechanism='an order that was read after a pause is refused',
+        module='base/pauses.py',
+        code='return self._env.timer.now() < self._old_until',
+        instead='return False',
+        test='tests/test_lost_disks.py::test_a_mark_read_after_a_pause_does_'
+        'not_take_effect',
+    ),
+    Removal(
+        mechanism='an entry asks again when it sends a request',
+        module='gateway/attempts.py',
+        code='            self._check_standing(connection)\n',
+        instead='',
+        test='tests/test_standings.py::test_a_busy_worker_gets_nothing_in_its_'
+        'time_and_costs_nobody',
+    ),
+    Removal(
+        mechanism='a busy time keeps requests from an endpoint',
+        module='gateway/standings.py',
+        code='        if now < refusals.busy_until:\n            return Standing(',
+        instead='        if False:\n            return Standing(',
+        test='tests/test_standings.py::test_a_busy_worker_gets_nothing_in_its_'
+        'time_and_costs_nobody',
+    ),
+    Removal(
+        mechanism='a refusal without a time keeps requests from an endpoint',
+        module='gateway/standings.py',
+        code='            self._note_refusal(replica, answer, sent_at)\n',
+        instead='            pass\n',
+        test='tests/test_standings.py::test_workers_that_refuse_at_once_cost_'
+        'callers_of_others_nothing',
+    ),
+    Removal(
+        mechanism='the leader tells all entries who leaves',
+        module='gateway/standings.py',
+        code='        return tuple(self._told_until_by_leaver)',
+        instead='        return ()',
+        test='tests/test_standings.py::test_all_entries_learn_from_one_that_a_'
+        'worker_leaves',
+    ),
+    Removal(
+        mechanism='an incarnation that leaves stays so whatever it announces',
+        module='fleet/view.py',
+        code='            if is_leaving:\n',
+        instead='            if False:\n',
+        test='tests/test_standings.py::test_a_worker_that_says_in_answers_that'
+        '_it_leaves_gets_nothing_more',
+    ),
 )
 
 
--- a/packages/daemon/src/apricotthread/daemon/fleetnode.py
+++ b/packages/daemon/src/apricotthread/daemon/fleetnode.py
@@ -42,6 +42,7 @@
 from apricotthread.gateway import limits
 from apricotthread.gateway import loads
 from apricotthread.gateway import stallwatch
+from apricotthread.gateway import standings
 from apricotthread.groups import formationmanager
 from apricotthread.groups import prober
 from apricotthread.nodes import connections
@@ -434,7 +435,9 @@
             target_voter_count=2 * known.tolerated_losses + 1,
             lost_after_s=2 * settings.lease_s,
         )
-        worker_client = orders.WorkerClient(env=env)
+        worker_client = orders.WorkerClient(
+            env=env, on_leaving=self.fleet_publisher.note_leaving
+        )
         self.prober = prober.Prober(
             env=env,
             raft=self.raft,
@@ -517,6 +520,10 @@
                 message=f'the report cannot be decoded: {error}',
             ) from error
         self.observations.take(report)
+        for leaver in report.leavers:
+            self.fleet_publisher.note_leaving(
+                leaver.endpoint_id, leaver.born_ms
+            )
         if self.raft.role is not replica.Role.LEADER:
             return messages.Done()
         self.quarantine.take(report.entry_id, report.crash_report)
@@ -574,6 +581,7 @@
         dialect = callers.PlatformDialect()
         load_table = loads.LoadTable(env=env)
         self.limits = limits.LimitTable(env=env, fleet=self.fleet)
+        self.standings = standings.StandingTable(env=env, fleet=self.fleet)
         self.share = shares.ShareHolder(env=env)
         self.exposures = exposures.ExposureMonitor(
             env=env, fleet=self.fleet, entry_id=settings.node_id
@@ -586,6 +594,7 @@
             load_table=load_table,
             exposure_monitor=self.exposures,
             limit_table=self.limits,
+            standing_table=self.standings,
             share=self.share,
         )
         self.stall_watch = stallwatch.StallWatch(
@@ -608,6 +617,7 @@
             dialect=dialect,
             load_table=load_table,
             limit_table=self.limits,
+            standing_table=self.standings,
             budget=self.retry_budget,
             share=self.share,
             stall_watch=self.stall_watch,
--- a/packages/endpoints/src/apricotthread/endpoints/directory.py
+++ b/packages/endpoints/src/apricotthread/endpoints/directory.py
@@ -131,9 +131,14 @@
         if heard.gone and announced.born_ms == old.born_ms:
             return self._mark_gone(stored, announced)
         if announced.order_key <= old.order_key:
-            return False
+            return announced.leaving and self._mark_leaving(
+                stored, announced.born_ms
+            )
         if announced.born_ms == old.born_ms and stored.gone:
             return False
+        if old.leaving and announced.born_ms == old.born_ms:
+            # An answer may have said so before the announcements do.
+            announced = msgspec.structs.replace(announced, leaving=True)
         changed = stored.lost or _has_changed(announced, old)
         stored.announcement = announced
         stored.heard_at = max(stored.heard_at, heard_at)
@@ -156,6 +161,15 @@
         self._record_change(stored, 'endpoint_gone', gone=True)
         return True
 
+    def _mark_leaving(self, stored: EndpointRecord, born_ms: int) -> bool:
+        """Mark an incarnation as leaving; return whether that is news."""
+        old = stored.announcement
+        if old.born_ms != born_ms or old.leaving or stored.gone:
+            return False
+        stored.announcement = msgspec.structs.replace(old, leaving=True)
+        self._record_change(stored, 'endpoint_leaving')
+        return True
+
     def _is_superseded(self, announced: Announcement) -> bool:
         """Whether an endpoint that started later has the address."""
         holder = self.record_by_id.get(
@@ -215,6 +229,17 @@
             gone=True,
         )
 
+    def note_leaving(self, endpoint_id: str, born_ms: int) -> Heard | None:
+        """Mark an incarnation as leaving, as it said so in an answer.
+
+        It stays so, whatever it announces. Return its state to forward, None
+        if it is unknown or that is no news.
+        """
+        stored = self.record_by_id.get(endpoint_id)
+        if stored is None or not self._mark_leaving(stored, born_ms):
+            return None
+        return self.describe(stored)
+
     def find_lost(self) -> None:
         """Mark endpoints as lost after `lost_after_s` without announcement.
 
--- a/packages/fleet/src/apricotthread/fleet/evidence.py
+++ b/packages/fleet/src/apricotthread/fleet/evidence.py
@@ -27,6 +27,13 @@
     slowness: float = 1.0
 
 
+class Leaver(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """An incarnation of an endpoint that said in an answer that it leaves."""
+
+    endpoint_id: str
+    born_ms: int
+
+
 class EntryReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """The observations of one entry, and whether it has had callers."""
 
@@ -39,6 +46,7 @@
     crash_report: crashreports.CrashReport = crashreports.CrashReport()
     share_claim: shares.ShareClaim = shares.ShareClaim()
     limit_report: limits.LimitReport = limits.LimitReport()
+    leavers: tuple[Leaver, ...] = ()
 
 
 _REPORT_DECODER = msgspec.msgpack.Decoder(EntryReport)
--- a/packages/fleet/src/apricotthread/fleet/publisher.py
+++ b/packages/fleet/src/apricotthread/fleet/publisher.py
@@ -92,6 +92,12 @@
             self._enqueue(heard, is_change=True)
         return heard is not None
 
+    def note_leaving(self, endpoint_id: str, born_ms: int) -> None:
+        """Mark an incarnation of an endpoint as leaving, if that is news."""
+        heard = self._endpoints.note_leaving(endpoint_id, born_ms)
+        if heard is not None:
+            self._enqueue(heard, is_change=True)
+
     def born_ms(self, endpoint_id: str) -> int | None:
         """Return the start of an endpoint in Unix ms, None if unknown."""
         record = self._endpoints.record_by_id.get(endpoint_id)
--- a/packages/fleet/src/apricotthread/fleet/view.py
+++ b/packages/fleet/src/apricotthread/fleet/view.py
@@ -4,6 +4,8 @@
 import collections.abc
 import dataclasses
 
+import msgspec
+
 from apricotthread.base import environment
 from apricotthread.base import logs
 from apricotthread.control import routetables
@@ -40,6 +42,8 @@
     slots: int
     group_id: str = ''
     epoch: int = 0
+    # The incarnation of the endpoint: its start in Unix ms.
+    born_ms: int = 0
 
 
 class FleetView:
@@ -62,7 +66,8 @@
         self._env = env
         self._on_table = on_table
         self._connected: set[str] = set()
-        self._replicas_by_service: dict[str, list[Replica]] = {}
+        # By service, and in each by endpoint id.
+        self._replicas_by_service: dict[str, dict[str, Replica]] = {}
         self.applied_index = -1
         self.table: routetables.RouteTable | None = None
         self.taken_out: frozenset[str] = frozenset()
@@ -144,15 +149,38 @@
             return
         else:
             known.gone = known.gone or news.heard.gone
+            is_leaving = announced.leaving or known.announced.leaving
             if announced.sequence >= known.announced.sequence:
                 known.announced = announced
                 if announced.cold_s > 0:
                     known.cold_until = cold_until
+            if is_leaving:
+                self._mark_leaving(known)
         if news.lost:
             known.lost_by.add(control_id)
         else:
             known.lost_by.discard(control_id)
 
+    def note_leaving(self, endpoint_id: str, born_ms: int) -> bool:
+        """Record that an incarnation leaves; return whether that is news.
+
+        It holds for the rest of the incarnation, whatever it announces.
+        """
+        known = self.endpoint_by_id.get(endpoint_id)
+        if known is None or known.announced.born_ms != born_ms:
+            return False
+        if known.announced.leaving:
+            return False
+        self._mark_leaving(known)
+        self._replicas_by_service.clear()
+        return True
+
+    def _mark_leaving(self, known: KnownEndpoint) -> None:
+        if not known.announced.leaving:
+            known.announced = msgspec.structs.replace(
+                known.announced, leaving=True
+            )
+
     def _is_not_leaving(self, endpoint_id: str) -> bool:
         """Whether an endpoint is known and has not announced its leaving."""
         known = self.endpoint_by_id.get(endpoint_id)
@@ -182,11 +210,17 @@
             return 0.0
         return max(0.0, known.cold_until - self._env.timer.now())
 
-    def replicas(self, service: str) -> list[Replica]:
+    def replicas(self, service: str) -> collections.abc.Collection[Replica]:
         """Return the replicas that accept new requests of a service."""
+        return self._get_replicas(service).values()
+
+    def _get_replicas(self, service: str) -> dict[str, Replica]:
         known = self._replicas_by_service.get(service)
         if known is None:
-            known = self._find_replicas(service)
+            known = {
+                replica.endpoint_id: replica
+                for replica in self._find_replicas(service)
+            }
             self._replicas_by_service[service] = known
         return known
 
@@ -214,6 +248,7 @@
                 data_centre=known.announced.data_centre,
                 model='',
                 slots=known.announced.slots,
+                born_ms=known.announced.born_ms,
             )
             for endpoint_id, known in self.endpoint_by_id.items()
             if known.announced.service == service
@@ -250,6 +285,7 @@
             slots=engine.slots,
             group_id=group.group_id,
             epoch=group.epoch,
+            born_ms=announced.born_ms,
         )
 
     def member_ids(self, replica: Replica) -> tuple[str, ...]:
@@ -267,9 +303,11 @@
 
     def takes_requests(self, replica: Replica) -> bool:
         """Whether a replica accepts new requests."""
-        table = self.table
-        service = self.endpoint_by_id[replica.endpoint_id].announced.service
-        return table is not None and replica in self.replicas(service)
+        known = self.endpoint_by_id.get(replica.endpoint_id)
+        if known is None or self.table is None:
+            return False
+        replicas = self._get_replicas(known.announced.service)
+        return replicas.get(replica.endpoint_id) == replica
 
     def is_lost(self, replica: Replica) -> bool:
         """Whether a replica can not finish the requests that it has.
--- a/packages/gateway/src/apricotthread/gateway/attempts.py
+++ b/packages/gateway/src/apricotthread/gateway/attempts.py
@@ -13,6 +13,7 @@
 from apricotthread.gateway import loads
 from apricotthread.gateway import placement
 from apricotthread.gateway import requests
+from apricotthread.gateway import standings
 
 
 # An endpoint that breaks off sooner did so as it began to answer.
@@ -28,6 +29,8 @@
 
     reason: str
     not_run: bool = False
+    # The endpoint has answered that it did not run the request.
+    is_refusal: bool = False
     # A whole answer, sealed by the endpoint, that may be passed on as it is.
     answer: connections.Answer | None = None
     body: bytes = b''
@@ -50,6 +53,8 @@
     # How long the last endpoint had been sending events, in seconds.
     answered_for_s: float | None = None
     exposure: exposures.Exposure | None = None
+    # Refusals that do not count as attempts.
+    refusals: int = 0
     # How many endpoints broke off as they began to answer.
     broken_off: int = 0
     # Where the request goes on once its present attempt is given up. It is
@@ -80,6 +85,7 @@
     dialect: requests.Dialect
     loads: loads.LoadTable
     limits: limits.LimitTable
+    standings: standings.StandingTable
     budget: budgets.RetryBudget
     group_monitor: groupmonitor.GroupMonitor
     exposure_monitor: exposures.ExposureMonitor
@@ -136,6 +142,7 @@
                 replica.address,
                 must_be_fresh=request.route.repeat is routetables.Repeat.NEVER,
             )
+            self._check_standing(connection)
             request_bytes = endpoints.dialect.build_request(
                 request,
                 address=replica.address,
@@ -146,6 +153,7 @@
             )
             self._renew_retry(connection)
             self._use_permit(connection)
+            endpoints.standings.note_sent(replica)
             connection.start(request_bytes)
         except connections.ConnectionLost as error:
             self.note_begun()
@@ -170,6 +178,16 @@
         )
         return connection
 
+    def _check_standing(
+        self, connection: connections.EndpointConnection
+    ) -> None:
+        """Raise AttemptFailure if the endpoint takes no request by now."""
+        standing = self._endpoints.standings.find(self._replica)
+        if not standing.may_send:
+            self._endpoints.env.metrics.count('requests_held_back')
+            self._endpoints.pool.release(connection)
+            raise AttemptFailure(reason=standing.reason, not_run=True)
+
     def _renew_retry(self, connection: connections.EndpointConnection) -> None:
         """Raise AttemptFailure if a retry was held up and none is left."""
         if self._state.unsent_retry is None:
--- a/packages/gateway/src/apricotthread/gateway/forwarder.py
+++ b/packages/gateway/src/apricotthread/gateway/forwarder.py
@@ -23,6 +23,7 @@
 from apricotthread.gateway import requesttrace
 from apricotthread.gateway import selection
 from apricotthread.gateway import stallwatch
+from apricotthread.gateway import standings
 
 # An answer up to this size is read completely before any of it is passed on,
 # so that the request can be retried where that is allowed.
@@ -35,6 +36,9 @@
 # Endpoints that have ended count as no attempt, so a request that is the cause
 # would meet no other limit.
 MAX_BROKEN_OFF = 3
+# An endpoint that refuses a request has not run it, so that counts as no
+# attempt either, but few requests need more than two others.
+MAX_UNCOUNTED_REFUSALS = 2
 # Statuses that tell a caller that its request has not run and never will.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Another endpoint at the address answers so, or one of another version.
@@ -42,6 +46,12 @@
 RETRY_AFTER_S = 0.2
 # For how long a request may wait for a permit, of the target of its route.
 PERMIT_WAIT_TARGETS = 0.125
+# For how long it may wait for an endpoint that refuses requests, from when it
+# came: after that its answer would mostly be late.
+HOLD_WAIT_TARGETS = 0.5
+MAX_HOLD_WAIT_S = 0.1
+HOLD_STAGGER_S = 0.002  # for each step of priority
+RETURN_SPREAD_S = 0.5
 
 
 class Sink(typing.Protocol):
@@ -92,6 +102,7 @@
         dialect: requests.Dialect,
         load_table: loads.LoadTable,
         limit_table: limits.LimitTable,
+        standing_table: standings.StandingTable,
         budget: budgets.RetryBudget,
         stall_watch: stallwatch.StallWatch,
         observations: groupmonitor.GroupMonitor,
@@ -105,6 +116,7 @@
         self._dialect = dialect
         self._loads = load_table
         self._limits = limit_table
+        self._standings = standing_table
         self._budget = budget
         self._watch = stall_watch
         self._group_monitor = observations
@@ -114,6 +126,7 @@
             fleet=fleet,
             load_table=load_table,
             limit_table=limit_table,
+            standing_table=standing_table,
             observations=observations,
             share=share,
             own_data_centre=own_data_centre,
@@ -126,6 +139,7 @@
             dialect=dialect,
             loads=load_table,
             limits=limit_table,
+            standings=standing_table,
             budget=budget,
             group_monitor=observations,
             exposure_monitor=exposure_monitor,
@@ -234,6 +248,10 @@
                     placed.candidate.replica.endpoint_id
                 )
                 return placed
+            if placed.held_s is not None and not placed.limited_ids:
+                if await self._outwait_hold(request, placed.held_s):
+                    continue
+                return self._tell_when_holds_end(placed)
             if not placed.limited_ids:
                 return placed
             wait_s = self._limits.predict_wait_s(placed.limited_ids)
@@ -246,6 +264,36 @@
                 self._env.metrics.count('requests_over_limits')
                 return _tell_when_permits_come(placed, wait_s)
 
+    async def _outwait_hold(
+        self, request: requests.RoutedRequest, held_s: float
+    ) -> bool:
+        """Wait until the first endpoint may be asked again, if it is soon.
+
+        Return False at once if the request could not be on time after that.
+        The most urgent requests come back first.
+        """
+        wait_s = held_s + HOLD_STAGGER_S * request.route.priority
+        on_time_until = request.received_at + min(
+            HOLD_WAIT_TARGETS * request.route.target_s, MAX_HOLD_WAIT_S
+        )
+        if self._env.timer.now() + wait_s > on_time_until:
+            return False
+        await self._env.timer.sleep(wait_s)
+        return True
+
+    def _tell_when_holds_end(
+        self, refusal: placement.Refusal
+    ) -> placement.Refusal:
+        """Return a refusal whose caller returns once the first hold has ended.
+
+        Callers that are refused together return one after the other.
+        """
+        self._env.metrics.count('requests_without_standing')
+        spread_s = RETURN_SPREAD_S * self._env.random.random()
+        return dataclasses.replace(
+            refusal, retry_after_s=refusal.held_s + spread_s
+        )
+
     def _check_quarantine(
         self,
         request: requests.RoutedRequest,
@@ -318,20 +366,19 @@
         """
         if failure.is_endpoint_lost:
             state.attempts -= 1
+        elif failure.is_refusal and state.refusals < MAX_UNCOUNTED_REFUSALS:
+            state.refusals += 1
+            state.attempts -= 1
         why_not = ''
-        if state.reserved is None:
+        if failure.not_run and self._return_to_given_up(request, state):
+            pass
+        elif state.reserved is None:
             why_not = self._find_why_not_retry(
                 request,
                 not_run=failure.not_run,
                 attempt_count=state.attempts,
                 broken_off=state.broken_off,
             ) or self._take_retry(request, state)
-        if (
-            why_not
-            and failure.not_run
-            and self._return_to_given_up(request, state)
-        ):
-            why_not = ''
         request_trace.add(
             'attempt_failed',
             endpoint=state.last_endpoint_id,
@@ -439,7 +486,7 @@
         state.given_up = None
         if (
             choice is None
-            or self._fleet.is_lost(choice.candidate.replica)
+            or not self._standings.find(choice.candidate.replica).may_send
             or self._limits.count_allowed(choice.candidate.replica.endpoint_id)
             == 0
             or self._take_retry(request, state)
@@ -589,6 +636,14 @@
                 reason='the answer belongs to another request'
             )
         self._loads.note_byte(replica.endpoint_id)
+        if answer.status != OTHER_ENDPOINT_STATUS or metadata.endpoint_id:
+            self._standings.observe(
+                replica,
+                answer.status,
+                metadata,
+                request_id=request.caller.request_id,
+                sent_at=attempt.started_at,
+            )
         if answer.status != OTHER_ENDPOINT_STATUS:
             self._limits.observe(
                 replica.endpoint_id, metadata, sent_at=attempt.started_at
@@ -596,7 +651,9 @@
         self._note_load(request, replica, metadata)
         if metadata.not_run:
             raise attempts.AttemptFailure(
-                reason=f'not run, status {answer.status}', not_run=True
+                reason=f'not run, status {answer.status}',
+                not_run=True,
+                is_refusal=True,
             )
         if 200 <= answer.status < 300 and not metadata.is_sealed:
             self._endpoints.note_failure(replica)
@@ -637,7 +694,7 @@
         body: bytes,
         is_whole: bool,
     ) -> attempts.AttemptFailure:
-        if answer.status >= 500:
+        if answer.status >= 500 and not self._standings.is_busy(replica):
             self._endpoints.note_failure(replica)
         says_not_run = answer.status in NOT_RUN_STATUSES
         return attempts.AttemptFailure(
--- a/packages/gateway/src/apricotthread/gateway/groupmonitor.py
+++ b/packages/gateway/src/apricotthread/gateway/groupmonitor.py
@@ -16,6 +16,7 @@
 from apricotthread.gateway import exposures
 from apricotthread.gateway import limits
 from apricotthread.gateway import loads
+from apricotthread.gateway import standings
 from apricotthread.nodes import membership
 from apricotthread.nodes import messages
 
@@ -67,10 +68,12 @@
         load_table: loads.LoadTable,
         exposure_monitor: exposures.ExposureMonitor,
         limit_table: limits.LimitTable,
+        standing_table: standings.StandingTable,
         share: shares.ShareHolder,
     ) -> None:
         self._env = env
         self._limits = limit_table
+        self._standings = standing_table
         self._members = members
         self._exposures = exposure_monitor
         self._share = share
@@ -83,6 +86,7 @@
         self._urgent_report_event = asyncio.Event()
         exposure_monitor.subscribe(self._urgent_report_event.set)
         limit_table.subscribe(self._urgent_report_event.set)
+        standing_table.subscribe(self._urgent_report_event.set)
 
     def _get_observation(self, replica: view.Replica) -> _Observation:
         return self._observation_by_group.setdefault(
@@ -335,6 +339,7 @@
             crash_report=self._exposures.make_report(),
             share_claim=self._share.make_claim(),
             limit_report=self._limits.make_report(),
+            leavers=self._standings.make_report(),
         )
 
 
--- a/packages/gateway/src/apricotthread/gateway/placement.py
+++ b/packages/gateway/src/apricotthread/gateway/placement.py
@@ -57,6 +57,7 @@
     data centre, `is_suspect` that it is ejected, has stalled or is silent.
     `cold_allowance` is how many more requests it may get now. `slowness` is
     the factor by which it is slower than its peers, at least 1.
+    `held_s` is for how long it refuses requests, 0 if it does not.
     `permits` is how many more requests this entry may send to an endpoint
     that names a limit, None if it names none.
     """
@@ -69,6 +70,7 @@
     is_suspect: bool
     slowness: float = 1.0
     permits: int | None = None
+    held_s: float = 0.0
 
     @property
     def is_at_limit(self) -> bool:
@@ -91,12 +93,14 @@
     """Why no replica gets a request, and when the caller may retry.
 
     `limited_ids` are the endpoints that are left out as they are at the limit
-    that they name.
+    that they name. `held_s` is after how many seconds the first of those may
+    be asked again that refuse requests, None if none is left out for that.
     """
 
     reason: str
     retry_after_s: float
     limited_ids: tuple[str, ...] = ()
+    held_s: float | None = None
 
 
 def predict_latency(
@@ -156,10 +160,14 @@
     best_score = 0.0
     has_no_group = True
     limited_ids = []
+    holds_s = []
     for candidate in candidates:
         has_no_group = False
         if candidate.cold_allowance <= 0:
             continue
+        if candidate.held_s > 0:
+            holds_s.append(candidate.held_s)
+            continue
         if candidate.is_at_limit:
             limited_ids.append(candidate.replica.endpoint_id)
             continue
@@ -189,10 +197,13 @@
             reason = 'no group is open'
         elif limited_ids:
             reason = 'every group is at its limit'
+        elif holds_s:
+            reason = 'every group is busy or refuses requests'
         return Refusal(
             reason=reason,
             retry_after_s=_retry_after_s(time_left_s, draw),
             limited_ids=tuple(limited_ids),
+            held_s=min(holds_s, default=None),
         )
     has_room = best.candidate.load + 1 <= engine.slots
     limit_s = TARGET_SHARE * target_s
@@ -231,10 +242,14 @@
     best_score = 0.0
     has_no_worker = True
     limited_ids = []
+    holds_s = []
     for candidate in candidates:
         has_no_worker = False
         if candidate.cold_allowance <= 0:
             continue
+        if candidate.held_s > 0:
+            holds_s.append(candidate.held_s)
+            continue
         if candidate.is_at_limit:
             limited_ids.append(candidate.replica.endpoint_id)
             continue
@@ -252,8 +267,13 @@
             reason = 'no worker is there'
         elif limited_ids:
             reason = 'every worker is at its limit'
+        elif holds_s:
+            reason = 'every worker is busy or refuses requests'
         return Refusal(
-            reason=reason, retry_after_s=0.2, limited_ids=tuple(limited_ids)
+            reason=reason,
+            retry_after_s=0.2,
+            limited_ids=tuple(limited_ids),
+            held_s=min(holds_s, default=None),
         )
     return Choice(candidate=best, first_event_s=0.0, total_s=0.0)
 
--- a/packages/gateway/src/apricotthread/gateway/requests.py
+++ b/packages/gateway/src/apricotthread/gateway/requests.py
@@ -80,7 +80,9 @@
     the answer names as the one at fault, if any. `limit_per_s` is how many
     requests a second the endpoint takes from all entries together, None if it
     names no limit; `is_limit_odd` means that it names one that is no number
-    above 0, or several.
+    above 0, or several. `is_leaving` says that the endpoint is about to end,
+    `busy_s` for how long it wants no more requests of this entry; with
+    `is_standing_odd` it says one of these in a way that means nothing.
     """
 
     request_id: str
@@ -92,6 +94,9 @@
     at_fault: str = ''
     limit_per_s: float | None = None
     is_limit_odd: bool = False
+    is_leaving: bool = False
+    busy_s: float | None = None
+    is_standing_odd: bool = False
 
 
 class Dialect(typing.Protocol):
--- a/packages/gateway/src/apricotthread/gateway/selection.py
+++ b/packages/gateway/src/apricotthread/gateway/selection.py
@@ -12,6 +12,7 @@
 from apricotthread.gateway import loads
 from apricotthread.gateway import placement
 from apricotthread.gateway import requests
+from apricotthread.gateway import standings
 
 
 class ReplicaSelector:
@@ -24,6 +25,7 @@
         fleet: view.FleetView,
         load_table: loads.LoadTable,
         limit_table: limits.LimitTable,
+        standing_table: standings.StandingTable,
         observations: groupmonitor.GroupMonitor,
         share: shares.ShareHolder,
         own_data_centre: str,
@@ -33,6 +35,7 @@
         self._fleet = fleet
         self._loads = load_table
         self._limits = limit_table
+        self._standings = standing_table
         self._group_monitor = observations
         self._share = share
         self._own_data_centre = own_data_centre
@@ -126,6 +129,7 @@
             or self._is_silent(replica),
             slowness=self._group_monitor.slowness(replica),
             permits=self._limits.count_allowed(replica.endpoint_id),
+            held_s=self._standings.find_hold(replica).wait_s,
         )
 
     def _draw(self, endpoint_id: str) -> float:
--- a/tests/platformstandin.py
+++ b/tests/platformstandin.py
@@ -53,6 +53,7 @@
 [fleet]
 tolerated_losses = 1
 log_lines_per_s = {lines}
+{fleet}
 """
 READY_GRACE_S = 0.5
 READY_PATH = '/-/ready'
@@ -206,6 +207,11 @@
         self.is_paused = False
         # How many requests a second it says that it takes, if it does.
         self.limit_per_s = None
+        # Whether it says that it leaves, in all answers.
+        self.is_leaving = False
+        # Whether it refuses all requests, and for how long it wants none.
+        self.refuses = False
+        self.busy_s = None
         self.orders = []
         self._server = None
         self._tasks = set()
@@ -328,6 +334,9 @@
         attempt = headers['attempt-id']
         self.run_count_by_attempt[attempt] += 1
         sealed_headers = self._seal(headers)
+        if self.refuses:
+            self._reject(writer, headers)
+            return
         if 'model' not in headers:
             await asyncio.sleep(self.gap_s)
             await self._outlast_pause()
@@ -361,7 +370,11 @@
         if self.limit_per_s:
             sealed_headers['Server-Limit'] = str(self.limit_per_s)
             self._note_named(attempt)
-        return sealed_headers
+        return sealed_headers | self._tell_leaving(attempt)
+
+    def _tell_leaving(self, attempt):
+        """Return the header by which a worker says that it leaves."""
+        return {'Server-Leaving': '1'} if self.is_leaving else {}
 
     def _note_named(self, attempt):
         """Do something when an answer names a limit."""
@@ -403,7 +416,10 @@
         answer_headers = {
             'Not-Executed': '1',
             'Attempt-Id': headers['attempt-id'],
+            **self._tell_leaving(headers['attempt-id']),
         }
+        if self.busy_s is not None:
+            answer_headers['Retry-After'] = str(self.busy_s)
         self._write(writer, NOT_RUN, answer_headers)
 
     def _send_second_answer(self, writer, headers):
@@ -446,10 +462,18 @@
     """
 
     def __init__(
-        self, *, children, folder: pathlib.Path, controls=3, entries=2
+        self,
+        *,
+        children,
+        folder: pathlib.Path,
+        controls=3,
+        entries=2,
+        fleet='',
     ):
         self.children = children
         self.folder = folder
+        # Further lines of that section of the settings.
+        self.fleet = fleet
         (
             self.peer_port,
             self.control_port,
@@ -490,6 +514,7 @@
                 data_centres='north,',
                 more=f'metrics_address = {host}:{self.metrics_port}',
                 grace=READY_GRACE_S,
+                fleet=self.fleet,
                 lines=lines_per_s,
             )
         )
--- a/tests/retryworld.py
+++ b/tests/retryworld.py
@@ -96,6 +96,16 @@
         """Return an answer, or fail, as the draw says."""
         world = self._world
         draw = world.random.random()
+        refusal = world.refuse(self._address, self._node_id)
+        if refusal is not None:
+            return connections.Answer(
+                status=503,
+                headers=[
+                    (b'attempt-id', self._request_id.encode()),
+                    (b'not-executed', b'1'),
+                    *refusal,
+                ],
+            )
         wait_s = NEVER_S if draw < 0.1 * world.failing else ANSWER_S
         with contextlib.suppress(TimeoutError):
             async with world.env.timer.timeout(wait_s):
@@ -173,6 +183,7 @@
         self.failing = 0.0  # the share of attempts that fail
         self.cold_s = 0.0
         self.born_ms = 1
+        self.born_ms_by_address = {}
         self.control_ids = ['c1', 'c2', 'c3']
         self.entry_ids = [f'e{number + 1}' for number in range(entries)]
         self.address_by_id = {
@@ -352,6 +363,10 @@
         """Return the headers by which a worker names its limit to a node."""
         return []
 
+    def refuse(self, address, node_id):
+        """Return the headers of a refusal that comes at once, if one does."""
+        return None
+
     def note_arrival(self, address, request_id, node_id):
         """Record a request of a node that has reached a worker."""
         self.arrivals.append(
@@ -379,7 +394,9 @@
                             service=SERVICE.name,
                             address=f'w{number}',
                             data_centre=DATA_CENTRES[number % 3],
-                            born_ms=self.born_ms,
+                            born_ms=self.born_ms_by_address.get(
+                                f'w{number}', self.born_ms
+                            ),
                             sequence=sequence,
                             slots=50,
                             cold_s=self.cold_s,
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -19,6 +19,7 @@
 from apricotthread.gateway import loads
 from apricotthread.gateway import requests
 from apricotthread.gateway import requesttrace
+from apricotthread.gateway import standings
 
 ATTEMPTS = 2
 ROUTE = routetables.Route(
@@ -145,7 +146,8 @@
         replicas=lambda service: replicas,
         cold_for_s=lambda endpoint_id: 0.0,
         is_available=lambda endpoint_id: True,
-        takes_requests=lambda replica: False,
+        takes_requests=lambda replica: True,
+        note_leaving=lambda endpoint_id, born_ms: False,
         has_ended=lambda endpoint_id: False,
         applied_index=1,
         endpoint_by_id={},
@@ -161,6 +163,7 @@
         ),
         load_table=loads.LoadTable(env=env),
         limit_table=limits.LimitTable(env=env, fleet=fleet),
+        standing_table=standings.StandingTable(env=env, fleet=fleet),
         budget=budgets.RetryBudget(
             env=env,
             share=fixedshares.FixedShare(),
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -24,6 +24,7 @@
 from apricotthread.gateway import requests
 from apricotthread.gateway import requesttrace
 from apricotthread.gateway import stallwatch
+from apricotthread.gateway import standings
 
 EVENTS = 12
 EVENT_GAP_S = 0.05
@@ -324,6 +325,7 @@
         )
         share = fixedshares.FixedShare()
         limit_table = limits.LimitTable(env=env, fleet=self.fleet)
+        standing_table = standings.StandingTable(env=env, fleet=self.fleet)
         monitor = groupmonitor.GroupMonitor(
             env=env,
             members=None,
@@ -332,6 +334,7 @@
             load_table=self.loads,
             exposure_monitor=exposure_monitor,
             limit_table=limit_table,
+            standing_table=standing_table,
             share=share,
         )
         # Entries look at the head of a silent group; this one is up.
@@ -349,6 +352,7 @@
             dialect=Dialect(pool=self.pool),
             load_table=self.loads,
             limit_table=limit_table,
+            standing_table=standing_table,
             budget=budgets.RetryBudget(
                 env=env,
                 share=share,
--- /dev/null
+++ b/tests/test_standings.py
@@ -0,0 +1,207 @@
+"""Workers that leave, are busy or refuse, as they see requests of all entries.
+
+Their announcements say that all is well.
+"""
+
+import pytest
+
+from apricotthread.fakes import virtualclock
+from tests import disturbances
+from tests import standingworld
+
+WARM_UP_S = 4.0
+LENGTH_S = 14.0
+END_S = WARM_UP_S + LENGTH_S
+# By then the entries have shares of what all may do together.
+SHARES_S = 15.0
+TWO = ('w0', 'w3')
+ALL = tuple(f'w{number}' for number in range(6))
+
+
+def play(*parts, seed=1, rate=60.0, warm_up_s=WARM_UP_S):
+    """Play callers before six workers; return the world.
+
+    The parts run side by side after a while in which all is well.
+    """
+
+    async def main():
+        env = virtualclock.make_environment(seed)
+        world = standingworld.StandingWorld(
+            env=env, seed=seed, workers=6, entries=6
+        )
+        try:
+            await world.start_first()
+            world.began_at = env.timer.now()
+            world.spawn(world.offer(rate=rate, seconds=warm_up_s + LENGTH_S))
+            await env.timer.sleep(warm_up_s)
+            for part in parts:
+                world.spawn(part(world))
+            await env.timer.sleep(LENGTH_S)
+        finally:
+            await world.close()
+        return world
+
+    return virtualclock.run(main())
+
+
+def leave(*addresses):
+    """Return a part of a play in which workers leave."""
+
+    async def run(world):
+        world.leaving.update(addresses)
+
+    return run
+
+
+def refuse(*addresses, named=None, seconds=None, rests_s=0.0):
+    """Return a part in which workers refuse, naming a time or none.
+
+    They end after `seconds`, and begin again after a rest, if they have one.
+    """
+
+    async def run(world):
+        while True:
+            world.refusing.update(dict.fromkeys(addresses, named))
+            await world.env.timer.sleep(seconds or END_S)
+            world.refusing.clear()
+            world.ended_at = world.env.timer.now()
+            await world.env.timer.sleep(rests_s or END_S)
+
+    return run
+
+
+async def lose_control(world):
+    """End all control nodes for good."""
+    await world.kill(*world.control_ids)
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+@pytest.mark.parametrize('others', [(), (lose_control,)])
+def test_a_worker_that_says_in_answers_that_it_leaves_gets_nothing_more(
+    seed, others
+):
+    """Guards against requests to workers that exit under them."""
+    world = play(*others, leave(*TWO), seed=seed)
+    assert set(world.told_entries()) == set(TWO)
+    assert world.late_arrivals == []
+    assert world.served_share() >= 0.99
+
+
+def test_all_entries_learn_from_one_that_a_worker_leaves():
+    world = play(leave(*TWO))
+    # Each learns by itself, or from the leader within a report and an update.
+    left_at = world.began_at + WARM_UP_S
+    assert world.count_arrivals(TWO, left_at + 1.0) == 0
+    assert max(world.told_entries().values()) < len(world.entry_ids)
+
+
+@pytest.mark.parametrize('disturb', disturbances.ALL)
+def test_no_disturbance_sends_requests_to_workers_that_leave(disturb):
+    world = play(leave(*TWO), disturb)
+    assert world.times_told
+    assert world.late_arrivals == []
+
+
+def test_a_worker_that_leaves_and_only_refuses_gets_nothing_more():
+    async def begin(world):
+        world.refusals_only = True
+
+    world = play(begin, leave(*TWO), refuse(*TWO))
+    assert set(world.told_entries()) == set(TWO)
+    assert world.late_arrivals == []
+    assert world.served_share() >= 0.99
+
+
+def test_with_all_workers_leaving_callers_are_refused_at_once():
+    world = play(leave(*ALL))
+    assert world.late_arrivals == []
+    assert set(world.statuses) == {200, 503}
+    assert max(world.refused_after_s) < 0.11
+    assert min(world.retry_after_s) > 0
+
+
+def test_another_incarnation_at_the_address_is_used_at_once():
+    """Guards against a fresh worker that pays for an earlier one."""
+    restarted_after_s = 5.0
+
+    async def restart(world):
+        await world.env.timer.sleep(restarted_after_s)
+        world.restart_worker(TWO[0])
+        world.restarted_at = world.env.timer.now()
+
+    world = play(leave(*TWO), refuse(*TWO, named='9', seconds=4.9), restart)
+    since = world.restarted_at
+    # An announcement, and the news of it.
+    assert world.count_arrivals(TWO[:1], since, since + 1.5) > 5
+    assert world.late_arrivals == []
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_workers_that_refuse_at_once_cost_callers_of_others_nothing(seed):
+    """Guards against a worker that draws the requests that it refuses.
+
+    The entries have their shares of the retry budget.
+    """
+    world = play(refuse(*TWO), seed=seed, warm_up_s=SHARES_S)
+    assert world.served_share() >= 0.99
+    refused = world.count_arrivals(TWO, world.began_at + SHARES_S + 2.0)
+    # Each entry asks each of them about once in its longest hold.
+    assert refused <= 2 * 6 * (LENGTH_S - 2.0) / 0.8
+
+
+@pytest.mark.parametrize('named', ['3', '2.5', '0.7'])
+@pytest.mark.parametrize('seed', [1, 2])
+def test_a_busy_worker_gets_nothing_in_its_time_and_costs_nobody(seed, named):
+    """Guards against requests that a worker has said that it refuses."""
+    world = play(refuse(*TWO, named=named), seed=seed)
+    assert world.most_in_a_busy_time() <= standingworld.MAX_IN_BUSY_TIME
+    assert world.served_share() >= 0.99
+
+
+@pytest.mark.parametrize('disturb', disturbances.ALL)
+def test_no_disturbance_sends_requests_to_busy_workers(disturb):
+    world = play(refuse(*TWO, named='3', seconds=4.0, rests_s=1.0), disturb)
+    assert world.most_in_a_busy_time() <= standingworld.MAX_IN_BUSY_TIME
+
+
+def test_a_shorter_time_does_not_end_a_longer_one():
+    async def shorten(world):
+        await world.env.timer.sleep(0.01)
+        world.refusing.update(dict.fromkeys(TWO, '0.1'))
+
+    world = play(refuse(*TWO, named='6'), shorten, rate=240.0)
+    assert world.most_in_a_busy_time() <= standingworld.MAX_IN_BUSY_TIME
+
+
+def test_busy_workers_are_used_again_within_a_second_of_their_time():
+    world = play(refuse(*ALL, named='2', seconds=0.5))
+    ends_at = world.ended_at + 2.0
+    assert world.count_arrivals(ALL, ends_at, ends_at + 1.0) > 20
+    late = world.count_arrivals(ALL, ends_at + 1.0, ends_at + 3.0)
+    # All callers are served again.
+    assert late > 0.9 * 2.0 * 60.0
+
+
+@pytest.mark.parametrize('named', [None, '3'])
+def test_with_all_workers_refusing_callers_are_refused_at_once(named):
+    """Guards against attempts that learn again what is known."""
+    world = play(refuse(*ALL, named=named))
+    refused = world.statuses.count(503)
+    assert refused > 600
+    assert set(world.statuses) == {200, 503}
+    assert max(world.refused_after_s) < 0.16
+    assert min(world.retry_after_s) > 0
+    since = world.began_at + WARM_UP_S
+    assert world.count_arrivals(ALL, since) < 0.7 * refused
+
+
+@pytest.mark.parametrize(
+    'named',
+    ['', '0', '-3', 'nan', '1e400', '9' * 400, '2026-12-05', '1,2', '7200'],
+)
+def test_an_odd_time_counts_as_a_refusal_without_one(named):
+    world = play(refuse(*TWO, named=named, seconds=4.0))
+    assert world.served_share() >= 0.99
+    # They are used again soon after they cease to refuse.
+    since = world.ended_at + 2.0
+    assert world.count_arrivals(TWO, since, since + 3.0) > 15
