--- a/bench/proofs.py
+++ b/bench/proofs.py
@@ -786,8 +786,8 @@
     Removal(
         mechanism='an order is carried out only while its caller waits',
         module='daemon/controlservice.py',
-        code="return '' if await is_caller_waiting() else 'its caller has left'",
-        instead="return ''",
+        code="'' if await is_caller_waiting() else 'its caller has left'",
+        instead="''",
         test='tests/test_lost_disks.py::test_a_mark_whose_caller_has_left_does'
         '_not_take_effect',
     ),
@@ -810,8 +810,8 @@
     Removal(
         mechanism='a busy time keeps requests from an endpoint',
         module='gateway/standings.py',
-        code='        if now < refusals.busy_until:\n            return Standing(',
-        instead='        if False:\n            return Standing(',
+        code='if now < refusals.busy_until:\n            return Standing(',
+        instead='if False:\n            return Standing(',
         test='tests/test_standings.py::test_a_busy_worker_gets_nothing_in_its_'
         'time_and_costs_nobody',
     ),
