--- a/tests/platformstandin.py
+++ b/tests/platformstandin.py
@@ -53,7 +53,6 @@
 [fleet]
 tolerated_losses = 1
 log_lines_per_s = {lines}
-{fleet}
 """
 READY_GRACE_S = 0.5
 READY_PATH = '/-/ready'
@@ -472,7 +471,7 @@
     ):
         self.children = children
         self.folder = folder
-        # Further lines of that section of the settings.
+        # Further lines of the last section of the settings.
         self.fleet = fleet
         (
             self.peer_port,
@@ -514,9 +513,9 @@
                 data_centres='north,',
                 more=f'metrics_address = {host}:{self.metrics_port}',
                 grace=READY_GRACE_S,
-                fleet=self.fleet,
                 lines=lines_per_s,
             )
+            + self.fleet
         )
         with open(self.folder / f'{host}.log', 'ab') as log:
             self.process_by_host[host] = await self.children.start(
