Keep the garbage collector from ending pytest as it shows a failure

Cause: pytest parses the source to show a failure. If the collector runs within that parse, and a destructor raises (a StreamWriter whose loop is closed does), pytest's hook formats its traceback, for which Python 3.11 parses a line again. The inner parse changes the depth that the outer one checks. Ruled out: a fault of the tests that were shown; --tb=native, which parses nothing, always showed them.

Change: no collection while a report is made.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,7 @@
 """Fixtures and the Hypothesis profile of all tests."""
 
+import gc
+
 import hypothesis
 import pytest
 
@@ -17,6 +19,21 @@
 hypothesis.settings.load_profile('fixed')
 
 
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport():
+    """Keep the collector from running while a failure is shown.
+
+    Python 3.11 raises SystemError if a destructor that it runs parses code
+    within another parse, as formatting the traceback of its error does. That
+    would end pytest, with the other tests of its worker.
+    """
+    gc.disable()
+    try:
+        return (yield)
+    finally:
+        gc.enable()
+
+
 @pytest.fixture
 def env():
     """Return an environment with a virtual clock and seeded randomness."""
--- a/tests/test_failed_tests.py
+++ b/tests/test_failed_tests.py
@@ -43,6 +43,29 @@
 play.START_TIMEOUT_S = 0.0
 deployment.Deployment.close = fail
 """
+# Garbage that is collected again and again, with an error each time.
+FAILING_GARBAGE = """
+import gc
+
+
+class Garbage:
+    count = 0
+
+    def __init__(self):
+        self.cycle = self
+
+    def __del__(self):
+        Garbage.count += 1
+        if Garbage.count < 300:
+            Garbage()
+        raise RuntimeError
+
+
+def test_fails():
+    gc.set_threshold(100)
+    Garbage()
+    assert not gc
+"""
 SELECTION_BY_PLUGIN = {
     TIMED_OUT_SIGNALS: ('test_signals.py', 'control or first_line'),
     TIMED_OUT_SITE: ('test_system.py', 'disconnects'),
@@ -93,3 +116,12 @@
     # Each node leaves its settings and the file of its output.
     assert list(folder.rglob('*.ini'))
     assert find_processes(folder) == []
+
+
+def test_garbage_does_not_end_pytest_as_it_shows_a_failure(
+    pytester, monkeypatch
+):
+    monkeypatch.setenv('PYTHONPATH', str(ROOT), prepend=os.pathsep)
+    pytester.makepyfile(test_garbage=FAILING_GARBAGE)
+    result = pytester.runpytest_subprocess('-p', 'tests.conftest')
+    assert result.parseoutcomes()['failed'] == 1
