Wait for a held endpoint with a request that may have run

What callers saw: a stream that had begun was cut as soon as the only other endpoint was held after a refusal, though 0.05 s later it would have gone on; a read that may have run was answered "outcome unknown" likewise.

Cause: Forwarder._outwait_hold allowed a wait of 0.1 s from when the request came, for all requests. That is for requests that can be refused as not run.

Change: a request that may have run waits as long as its caller stays: the patience of its route, less what resuming takes, and its deadline. The test (a begun stream, a read) failed before and passes after.

--- a/packages/gateway/src/apricotthread/gateway/forwarder.py
+++ b/packages/gateway/src/apricotthread/gateway/forwarder.py
@@ -249,7 +249,7 @@
                 )
                 return placed
             if placed.held_s is not None and not placed.limited_ids:
-                if await self._outwait_hold(request, placed.held_s):
+                if await self._outwait_hold(request, state, placed.held_s):
                     continue
                 return self._tell_when_holds_end(placed)
             if not placed.limited_ids:
@@ -265,18 +265,30 @@
                 return _tell_when_permits_come(placed, wait_s)
 
     async def _outwait_hold(
-        self, request: requests.RoutedRequest, held_s: float
+        self,
+        request: requests.RoutedRequest,
+        state: attempts.AttemptState,
+        held_s: float,
     ) -> bool:
         """Wait until the first endpoint may be asked again, if it is soon.
 
         Return False at once if the request could not be on time after that.
-        The most urgent requests come back first.
+        One that may have run can't be refused as not run, and is worth a
+        wait for as long as its caller stays. The most urgent requests come
+        back first.
         """
+        now = self._env.timer.now()
         wait_s = held_s + HOLD_STAGGER_S * request.route.priority
-        on_time_until = request.received_at + min(
-            HOLD_WAIT_TARGETS * request.route.target_s, MAX_HOLD_WAIT_S
-        )
-        if self._env.timer.now() + wait_s > on_time_until:
+        if state.may_have_run:
+            wait_until = min(
+                now + request.route.patience_s - stallwatch.RESUMPTION_S,
+                request.deadline - MIN_TIME_LEFT_S,
+            )
+        else:
+            wait_until = request.received_at + min(
+                HOLD_WAIT_TARGETS * request.route.target_s, MAX_HOLD_WAIT_S
+            )
+        if now + wait_s > wait_until:
             return False
         await self._env.timer.sleep(wait_s)
         return True
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -118,6 +118,16 @@
     )
 
 
+def make_metadata(*, answered_id='r-1', not_run=False, endpoint_id=''):
+    """Return what an answer says of itself."""
+    return requests.AnswerMetadata(
+        request_id=answered_id,
+        is_sealed=True,
+        not_run=not_run,
+        endpoint_id=endpoint_id,
+    )
+
+
 def make_forwarder(
     env, pool, addresses, *, answered_id='r-1', not_run=False, slack=100.0
 ):
@@ -136,12 +146,7 @@
         )
         for address in addresses
     ]
-    metadata = requests.AnswerMetadata(
-        request_id=answered_id,
-        is_sealed=True,
-        not_run=not_run,
-        endpoint_id='',
-    )
+    metadata = make_metadata(answered_id=answered_id, not_run=not_run)
     fleet = types.SimpleNamespace(
         replicas=lambda service: replicas,
         cold_for_s=lambda endpoint_id: 0.0,
--- a/tests/test_standings.py
+++ b/tests/test_standings.py
@@ -3,6 +3,7 @@
 Their announcements say that all is well.
 """
 
+import msgspec
 import pytest
 
 from apricotthread.base import errors
@@ -23,6 +24,7 @@
 # By then the entries have shares of what all may do together.
 SHARES_S = 15.0
 TWO = ('w0', 'w3')
+FIRST_EVENT, SECOND_EVENT = b'id: 1\ndata: a\n\n', b'id: 2\ndata: b\n\n'
 ALL = tuple(f'w{number}' for number in range(6))
 
 
@@ -255,6 +257,62 @@
     virtualclock.run(main())
 
 
+@pytest.mark.parametrize(
+    ('parts', 'is_stream'),
+    [
+        ([FIRST_EVENT, None, SECOND_EVENT, b''], True),
+        ([None, b''], False),
+    ],
+    ids=['begun stream', 'read that may have run'],
+)
+def test_a_request_that_may_have_run_waits_for_an_endpoint_that_is_held(
+    env, parts, is_stream
+):
+    """Guards against streams that are cut as the next endpoint refuses."""
+    route = msgspec.structs.replace(
+        test_forwarder.ROUTE, is_stream=is_stream, timeout_s=5.0
+    )
+
+    class BreakingPool(test_forwarder.StreamPool):
+        async def acquire(self, address, *, must_be_fresh):
+            # By then the other endpoint has refused a request.
+            hold('w-2' if address == 'w-1' else 'w-1')
+            return await super().acquire(address, must_be_fresh=must_be_fresh)
+
+    def hold(address):
+        (other,) = (
+            replica
+            for replica in forward._fleet.replicas('reads')
+            if replica.endpoint_id == address
+        )
+        if not pool.ran_at_addresses:
+            forward._standings.observe(
+                other,
+                503,
+                test_forwarder.make_metadata(not_run=True),
+                request_id='r-0',
+                sent_at=env.timer.now(),
+            )
+
+    pool = BreakingPool(parts)
+    forward = test_forwarder.make_forwarder(env, pool, ['w-1', 'w-2'])
+
+    async def main():
+        sink = test_forwarder.Sink()
+        request = test_forwarder.make_request(env, route, time_left_s=5.0)
+        # It came long ago, in terms of the time of a new request.
+        await env.timer.sleep(0.2)
+        await forward.forward(
+            request,
+            sink,
+            requesttrace.RequestTrace(env=env, request_id='r-1'),
+        )
+        assert sink.has_ended
+        assert len(set(pool.ran_at_addresses)) == 2
+
+    virtualclock.run(main())
+
+
 def test_an_endpoint_that_leaves_stays_so_whatever_it_announces(env):
     """Guards against heartbeats that take back what answers said."""
 
