Take no misdirected request for a refusal of its endpoint

A worker that answers 421 under its own id, as for an order that came late, got no requests from that entry for 0.05 s and longer, like one that is full.

Cause: StandingTable.observe counted every answer that says "not run". Ruled out: 429 and 503, which do say that the endpoint wants none.

Change: only 429 and 503 hold requests back. The test failed before with 421.

--- a/packages/gateway/src/apricotthread/gateway/standings.py
+++ b/packages/gateway/src/apricotthread/gateway/standings.py
@@ -39,6 +39,7 @@
 # For so long the leader is told who leaves; it tells all others.
 TOLD_S = 10.0
 BUSY_STATUS = 503
+REFUSAL_STATUSES = (429, 503)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -159,7 +160,9 @@
         if status == BUSY_STATUS and answer.busy_s is not None:
             self._note_busy(replica, answer.busy_s, request_id)
         elif answer.not_run:
-            self._note_refusal(replica, answer, sent_at)
+            # A request that was misdirected, say, tells nothing of others.
+            if status in REFUSAL_STATUSES:
+                self._note_refusal(replica, answer, sent_at)
         else:
             self._note_accepted(replica, sent_at)
 
--- a/tests/test_standings.py
+++ b/tests/test_standings.py
@@ -313,6 +313,29 @@
     virtualclock.run(main())
 
 
+@pytest.mark.parametrize(
+    ('status', 'may_send'), [(421, True), (429, False), (503, False)]
+)
+def test_a_misdirected_request_holds_nothing_back(env, status, may_send):
+    """Guards against sound workers left out for an order that came late."""
+    forward = test_forwarder.make_forwarder(
+        env, test_forwarder.Pool(dead=[]), ['w-1']
+    )
+    (replica,) = forward._fleet.replicas('reads')
+
+    async def main():
+        forward._standings.observe(
+            replica,
+            status,
+            test_forwarder.make_metadata(not_run=True, endpoint_id='w-1'),
+            request_id='r-1',
+            sent_at=env.timer.now(),
+        )
+        assert forward._standings.find(replica).may_send == may_send
+
+    virtualclock.run(main())
+
+
 def test_an_endpoint_that_leaves_stays_so_whatever_it_announces(env):
     """Guards against heartbeats that take back what answers said."""
 
