Let endpoints announce for how long they are busy

Change: `busy_s` in an announcement, bounded like all its numbers. The entry to which it is announced sends nothing until then; the announcement binds, so a shorter one does not end a longer one, and another incarnation is free. Groups are not made anew for it: formation reads `leaving` and the group's state only.

On the registry only, not on real nodes.

--- a/packages/endpoints/src/apricotthread/endpoints/announcements.py
+++ b/packages/endpoints/src/apricotthread/endpoints/announcements.py
@@ -12,7 +12,8 @@
 
     The incarnation grows with each start, the sequence with each
     announcement. For a group, the numbers of its head count. `limit_per_s`
-    is how many requests a second it takes, 0 without a limit.
+    is how many requests a second it takes, 0 without a limit. It wants no new
+    requests for `busy_s`.
     """
 
     endpoint_id: str
@@ -28,6 +29,7 @@
     max_requests: decoding.Count = 1
     bear_requests: decoding.Count = 1
     limit_per_s: decoding.Rate = 0.0
+    busy_s: decoding.Rate = 0.0
     memory_bytes: decoding.Ordinal = 0
     bytes_per_token: decoding.Ordinal = 1
     used_bytes: decoding.Ordinal = 0
--- a/packages/endpoints/src/apricotthread/endpoints/registry.py
+++ b/packages/endpoints/src/apricotthread/endpoints/registry.py
@@ -47,6 +47,7 @@
         self.reserved_bytes = 0
         self.untracked_requests = announcement.running
         self.seconds_per_token = 0.0
+        self._busy_until = now + announcement.busy_s
         self._suspended_until = float('-inf')
         self._suspended_fencing = 0
         self.ramp = ramps.Ramp(
@@ -69,6 +70,9 @@
                 'endpoint_restarted', endpoint=announcement.endpoint_id
             )
             self.ramp.restart()
+            self._busy_until = now
+        # A shorter time does not end a longer one that was announced before.
+        self._busy_until = max(self._busy_until, now + announcement.busy_s)
         self._fill_allowance()
         self.announcement = announcement
         self.received_at = now
@@ -98,6 +102,10 @@
             and self._suspended_fencing == self.announcement.fencing
         )
 
+    def is_busy(self, now: float) -> bool:
+        """Whether the endpoint has announced that it wants no requests yet."""
+        return now < self._busy_until
+
     def free_requests(self) -> int:
         """Return how many more requests the endpoint may be sent now.
 
@@ -238,6 +246,7 @@
             self.is_fresh(endpoint)
             and now >= endpoint.usable_at
             and not endpoint.is_suspended(now)
+            and not endpoint.is_busy(now)
             and not endpoint.announcement.leaving
         )
 
