Name the endpoints that are held back in a refusal

What operators saw: "every worker is busy or refuses requests", and no line of `explain` that says which ones, why, or until when.

Change: the decision of a refusal (`explain`, logs) names up to four of them, with the reason and the time that is left. The test fails without it (there was no such field).

--- a/packages/gateway/src/apricotthread/gateway/forwarder.py
+++ b/packages/gateway/src/apricotthread/gateway/forwarder.py
@@ -209,6 +209,11 @@
                 request_trace.add(
                     'refused',
                     reason=reason,
+                    held=''
+                    if placed.held_s is None
+                    else self._standings.describe_holds(
+                        self._fleet.replicas(request.service.name)
+                    ),
                     retry_after_s=retry_s,
                     attempts=state.attempts,
                     applied_index=self._fleet.applied_index,
--- a/packages/gateway/src/apricotthread/gateway/standings.py
+++ b/packages/gateway/src/apricotthread/gateway/standings.py
@@ -38,6 +38,7 @@
 AGAIN_BUSY_SPREAD_S = 0.8
 # For so long the leader is told who leaves; it tells all others.
 TOLD_S = 10.0
+MAX_DESCRIBED = 4
 BUSY_STATUS = 503
 REFUSAL_STATUSES = (429, 503)
 
@@ -133,6 +134,22 @@
             self._env.timer.now() < refusals.busy_until
         )
 
+    def describe_holds(
+        self, replicas: collections.abc.Iterable[view.Replica]
+    ) -> str:
+        """Return why and for how long some of these replicas are held back."""
+        described = []
+        for replica in replicas:
+            standing = self.find_hold(replica)
+            if not standing.may_send:
+                described.append(
+                    f'{replica.endpoint_id}: {standing.reason}, '
+                    f'{standing.wait_s:.2f} s'
+                )
+            if len(described) == MAX_DESCRIBED:
+                break
+        return '; '.join(described)
+
     # News
 
     def note_sent(self, replica: view.Replica) -> None:
--- a/tests/test_standings.py
+++ b/tests/test_standings.py
@@ -3,6 +3,9 @@
 Their announcements say that all is well.
 """
 
+import dataclasses
+import types
+
 import msgspec
 import pytest
 
@@ -13,6 +16,7 @@
 from apricotthread.fleet import updates
 from apricotthread.fleet import view
 from apricotthread.gateway import requesttrace
+from apricotthread.gateway import standings
 from tests import disturbances
 from tests import retryworld
 from tests import standingworld
@@ -336,6 +340,41 @@
     virtualclock.run(main())
 
 
+def test_a_refusal_explains_which_endpoints_are_held_back(env):
+    """Guards against a refusal whose cause no log line names."""
+    endpoint_ids = [f'w-{number}' for number in range(6)]
+    forward = test_forwarder.make_forwarder(
+        env, test_forwarder.Pool(dead=[]), endpoint_ids
+    )
+    decisions = []
+
+    async def main():
+        for replica in forward._fleet.replicas('reads'):
+            forward._standings.observe(
+                replica,
+                503,
+                dataclasses.replace(
+                    test_forwarder.make_metadata(not_run=True), busy_s=2.0
+                ),
+                request_id='r-1',
+                sent_at=env.timer.now(),
+            )
+        with pytest.raises(errors.ApricotError) as caught:
+            await forward.forward(
+                test_forwarder.make_request(env),
+                test_forwarder.Sink(),
+                types.SimpleNamespace(
+                    add=lambda event, **fields: decisions.append(fields)
+                ),
+            )
+        assert caught.value.ran is errors.Ran.NO
+
+    virtualclock.run(main())
+    held = decisions[-1]['held'].split('; ')
+    assert len(held) == standings.MAX_DESCRIBED
+    assert held[0].startswith('w-0: the endpoint is busy, 2.')
+
+
 def test_an_endpoint_that_leaves_stays_so_whatever_it_announces(env):
     """Guards against heartbeats that take back what answers said."""
 
