Play workers that leave and that are busy in the soak, and check both rules

In half of the runs one to three workers say in all answers that they leave, and end after a while; in half of them one to three refuse all requests and name a busy time.

Checks, in the users' words: no request that was sent 2 s after an entry has passed on an answer with Server-Leaving reaches that worker from it; at most two reach a busy one between 0.5 s after its answer and the end of the time. A fault of that entry since then excuses it. Ten cases plant or excuse one.

--- a/soak/backends.py
+++ b/soak/backends.py
@@ -189,6 +189,7 @@
                     service=self.service,
                     worker=self.name,
                     at_s=observations.now_s(),
+                    born_ms=self.born,
                 )
             )
         if self.fault is schedule.Kind.WORKER_SILENT:
@@ -205,6 +206,23 @@
             )
         )
 
+    def _tell_leaving(self, attempt):
+        if self.is_leaving:
+            self._note_unwilling(attempt, busy_s=None)
+        return super()._tell_leaving(attempt)
+
+    def _note_unwilling(self, attempt, *, busy_s):
+        observations = self._worker_monitor.observations
+        observations.unwilling.append(
+            record.Unwilling(
+                attempt_id=attempt,
+                worker=self.name,
+                at_s=observations.now_s(),
+                born_ms=self.born,
+                busy_s=busy_s,
+            )
+        )
+
     def _handle_order(self, order):
         """Execute an order; refuse an older fence or epoch, as workers do."""
         if order.fence < self._highest_fence:
@@ -259,6 +277,12 @@
             await asyncio.shield(restarting)
 
     async def _run(self, headers, writer):
+        if self.refuses:
+            self._note_unwilling(
+                self.get_attempt_id(headers), busy_s=self.busy_s
+            )
+            self._reject(writer, headers)
+            return
         violation = ''
         if 'model' in headers:
             if self.place is None or self.place.state != 'open':
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -36,6 +36,10 @@
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
 LIMIT_KNOWN_S = 0.5
+# Bounds of the users for workers that leave or are busy.
+DRAIN_S = 2.0
+BUSY_KNOWN_S = 0.5
+MAX_IN_BUSY_TIME = 2
 # The nodes are started with the default bound on retries.
 RETRY_RATIO = settings.Discovery.retry_ratio
 RETRY_SLACK = settings.Discovery.retry_slack
@@ -297,6 +301,80 @@
     ]
 
 
+def check_leaving(
+    observations: record.Observations, plan: schedule.Schedule
+) -> list[str]:
+    """Check that no entry sends requests to a worker that it knows to leave.
+
+    It knows once it has passed on an answer that says so, unless a fault has
+    disturbed it since. Requests count that were sent DRAIN_S later.
+    """
+    attempt_by_id = {a.attempt_id: a for a in observations.attempts}
+    arrivals = collections.Counter(a.attempt_id for a in observations.arrivals)
+    told_at: dict[tuple[str, int, str], float] = {}
+    for told in observations.unwilling:
+        attempt = attempt_by_id.get(told.attempt_id)
+        if (
+            told.busy_s is None
+            and attempt is not None
+            and attempt.outcome is record.Outcome.WHOLE
+            # The answer is certainly that of this worker.
+            and arrivals[told.attempt_id] == 1
+        ):
+            key = (told.worker, told.born_ms, attempt.entry)
+            told_at.setdefault(key, attempt.ended_s)
+    violations = []
+    for arrival in observations.arrivals:
+        attempt = attempt_by_id.get(arrival.attempt_id)
+        if attempt is None:
+            continue
+        key = (arrival.worker, arrival.born_ms, attempt.entry)
+        told_s = told_at.get(key, float('inf'))
+        if attempt.began_s > told_s + DRAIN_S and not _is_disturbed(
+            plan, attempt.entry, told_s, arrival.at_s
+        ):
+            violations.append(
+                f'{arrival.attempt_id} at {arrival.worker} from '
+                f'{attempt.entry}, {arrival.at_s:.1f} s: it was told at '
+                f'{told_s:.1f} s'
+            )
+    return violations
+
+
+def check_busy(
+    observations: record.Observations, plan: schedule.Schedule
+) -> list[str]:
+    """Check that few requests of an entry reach a worker in its busy time.
+
+    A fault that has disturbed the entry since excuses them.
+    """
+    entry_by_attempt = {a.attempt_id: a.entry for a in observations.attempts}
+    times_by_pair = collections.defaultdict(list)
+    for arrival in observations.arrivals:
+        entry = entry_by_attempt.get(arrival.attempt_id, '')
+        times_by_pair[arrival.worker, arrival.born_ms, entry].append(
+            arrival.at_s
+        )
+    violations = []
+    for told in observations.unwilling:
+        entry = entry_by_attempt.get(told.attempt_id, '')
+        if told.busy_s is None or not entry:
+            continue
+        ends_s = told.at_s + told.busy_s
+        times = times_by_pair[told.worker, told.born_ms, entry]
+        count = _count_in_window(
+            times, told.at_s + BUSY_KNOWN_S, told.busy_s - BUSY_KNOWN_S
+        )
+        if count > MAX_IN_BUSY_TIME and not _is_disturbed(
+            plan, entry, told.at_s, ends_s
+        ):
+            violations.append(
+                f'{told.worker}: {count} requests of {entry} while it was '
+                f'busy until {ends_s:.1f} s'
+            )
+    return violations
+
+
 def _is_disturbed(
     plan: schedule.Schedule, node: str, from_s: float, until_s: float
 ) -> bool:
@@ -360,6 +438,8 @@
         'sound prompts served': check_sound_prompts(observations, plan),
         'repeats within the bound': check_repeats(observations),
         'limits of workers kept': check_named_limits(observations, plan),
+        'nothing for workers that leave': check_leaving(observations, plan),
+        'busy workers left alone': check_busy(observations, plan),
         'taken out': check_taken_out(observations),
         'no exits': check_exits(observations),
     }
--- a/soak/play.py
+++ b/soak/play.py
@@ -23,6 +23,8 @@
 BROKEN_SHARE = 0.7  # of the answers, while answers break
 CLOCK_STEP_S = 2400.0  # operators have seen clocks wrong by 40 minutes
 PROBE_PERIOD_S = 0.5
+BUSY_S = 1.5  # that busy workers name, in each refusal
+REPLACEMENT_S = 0.5  # until another worker takes the place of one that left
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -176,6 +178,7 @@
         self._observations.sent.clear()
         self._observations.arrivals.clear()
         self._observations.named_limits.clear()
+        self._observations.unwilling.clear()
         self._observations.acknowledged_tables[:] = [
             record.AcknowledgedTable(
                 version=ack.version, at_s=ack.at_s - offset_s
@@ -316,6 +319,18 @@
             if worker.is_up:
                 await worker.crash_and_restart(fault.duration_s)
             return
+        if fault.kind is schedule.Kind.WORKER_LEAVES:
+            worker.is_leaving = True
+            await asyncio.sleep(fault.duration_s)
+            worker.is_leaving = False
+            if worker.is_up:
+                await worker.crash_and_restart(REPLACEMENT_S)
+            return
+        if fault.kind is schedule.Kind.WORKER_BUSY:
+            worker.refuses, worker.busy_s = True, BUSY_S
+            await asyncio.sleep(fault.duration_s)
+            worker.refuses, worker.busy_s = False, None
+            return
         if fault.kind is schedule.Kind.WORKER_PAUSES:
             worker.is_paused = True
             await asyncio.sleep(fault.duration_s)
--- a/soak/record.py
+++ b/soak/record.py
@@ -88,6 +88,22 @@
     service: str
     worker: str
     at_s: float
+    # Tells the incarnations of a worker apart.
+    born_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Unwilling:
+    """An answer in which a worker said that it wants no requests.
+
+    `busy_s` says for how long; it is None if the worker leaves.
+    """
+
+    attempt_id: str
+    worker: str
+    at_s: float
+    born_ms: int
+    busy_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -149,6 +165,7 @@
     sent: list[Sent] = dataclasses.field(default_factory=list)
     arrivals: list[Arrival] = dataclasses.field(default_factory=list)
     named_limits: list[NamedLimit] = dataclasses.field(default_factory=list)
+    unwilling: list[Unwilling] = dataclasses.field(default_factory=list)
     acknowledged_tables: list[AcknowledgedTable] = dataclasses.field(
         default_factory=list
     )
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -25,6 +25,11 @@
 BREAKING_SHARE = 0.5
 # All workers name limits in this share of the runs, until the storm ends.
 LIMITED_SHARE = 0.5
+# In this share of the runs some workers leave, in this one some are busy.
+LEAVING_SHARE = 0.5
+BUSY_SHARE = 0.5
+MAX_UNWILLING = 3
+MIN_UNWILLING_S = 2.5
 
 
 class Kind(enum.Enum):
@@ -38,7 +43,9 @@
     that pauses is sound; it pauses during planned work only. Prompts that
     crash have a part that ends each worker that begins to answer it. While
     answers break, all workers break off most of them. Limited workers name
-    how many requests a second they take.
+    how many requests a second they take. A worker that leaves says so in all
+    answers, and ends after a while; a busy one refuses all requests, and says
+    for how long it wants none.
     """
 
     LINK_DELAY = 'link_delay'
@@ -71,6 +78,8 @@
     PROMPTS_CRASH = 'prompts_crash'
     ANSWERS_BREAK = 'answers_break'
     WORKERS_LIMITED = 'workers_limited'
+    WORKER_LEAVES = 'worker_leaves'
+    WORKER_BUSY = 'worker_busy'
 
 
 # Planned work, which has to cut no answer.
@@ -103,6 +112,8 @@
         Kind.WORKER_PAUSES,
         Kind.ANSWERS_BREAK,
         Kind.WORKERS_LIMITED,
+        Kind.WORKER_LEAVES,
+        Kind.WORKER_BUSY,
     }
 )
 # Drawn apart from the others, so that the faults of older seeds stay.
@@ -117,12 +128,16 @@
         Kind.PROMPTS_CRASH,
         Kind.ANSWERS_BREAK,
         Kind.WORKERS_LIMITED,
+        Kind.WORKER_LEAVES,
+        Kind.WORKER_BUSY,
     )
 )
 # What the times of these are drawn by, besides the seed of the run.
 SEED_BY_KIND = {
     Kind.ANSWERS_BREAK: 'breaking answers',
     Kind.WORKERS_LIMITED: 'limited workers',
+    Kind.WORKER_LEAVES: 'leaving workers',
+    Kind.WORKER_BUSY: 'busy workers',
 }
 OPERATOR_KINDS = frozenset(
     {Kind.TABLES_IN_SUCCESSION, Kind.TABLES_RACED, Kind.DATA_CENTRE_OUT}
@@ -206,6 +221,15 @@
         faults.extend(
             _make_state_of_all_workers(seed, storm_s, kind=kind, share=share)
         )
+    for kind, share in (
+        (Kind.WORKER_LEAVES, LEAVING_SHARE),
+        (Kind.WORKER_BUSY, BUSY_SHARE),
+    ):
+        faults.extend(
+            _make_unwilling_workers(
+                seed, storm_s, topology, kind=kind, share=share
+            )
+        )
     planned_from_s = storm_s + RECOVERY_S
     for number, kind in enumerate(
         generator.sample(PLANNED_KINDS, len(PLANNED_KINDS))
@@ -317,6 +341,35 @@
     ]
 
 
+def _make_unwilling_workers(
+    seed: int, storm_s: float, topology: Topology, *, kind: Kind, share: float
+) -> list[Fault]:
+    """Return the faults of some workers that want no requests.
+
+    They come in this share of the runs.
+    """
+    generator = random.Random(f'{seed} {SEED_BY_KIND[kind]}')
+    if generator.random() > share:
+        return []
+    count = generator.randint(1, MAX_UNWILLING)
+    latest_s = max(FIRST_FAULT_S, storm_s - MIN_UNWILLING_S)
+    faults = []
+    for worker in generator.sample(topology.workers, count):
+        at_s = generator.uniform(FIRST_FAULT_S, latest_s)
+        longest_s = max(MIN_UNWILLING_S, storm_s - at_s)
+        faults.append(
+            Fault(
+                at_s=round(at_s, 3),
+                duration_s=round(
+                    generator.uniform(MIN_UNWILLING_S, longest_s), 3
+                ),
+                kind=kind,
+                target=worker,
+            )
+        )
+    return faults
+
+
 def _make_pauses(
     seed: int, planned_from_s: float, topology: Topology
 ) -> list[Fault]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -506,6 +506,71 @@
     assert taken_s / LOOKUPS < MAX_LOOKUP_S
 
 
+def make_unwilling_world(times, *, began_s=None, born_ms=0):
+    """Return requests of an entry to a worker, at these times."""
+    observations = record.Observations()
+    for number, at_s in enumerate(times):
+        observations.attempts.append(
+            make_attempt(
+                f'r-{number}',
+                entry='entry-1',
+                began_s=at_s if began_s is None else began_s,
+                ended_s=at_s + 0.1,
+            )
+        )
+        observations.arrivals.append(
+            record.Arrival(
+                attempt_id=f'r-{number}',
+                service='bids',
+                worker='w',
+                at_s=at_s,
+                born_ms=0 if number == 0 else born_ms,
+            )
+        )
+    return observations
+
+
+@pytest.mark.parametrize(
+    ('values', 'told', 'paused', 'is_kept'),
+    [
+        ({'times': (1.0, 3.2)}, {}, 9.0, False),
+        ({'times': (1.0, 3.0)}, {}, 9.0, True),
+        ({'times': (1.0, 3.2), 'began_s': 1.0}, {}, 9.0, True),
+        ({'times': (1.0, 3.2), 'born_ms': 7}, {}, 9.0, True),
+        ({'times': (1.0, 3.2)}, {'worker': 'w-2'}, 9.0, True),
+        ({'times': (1.0, 3.2)}, {}, 2.0, True),
+        ({'times': (1.0, 1.6, 1.7, 1.8)}, {'busy_s': 1.5}, 9.0, False),
+        ({'times': (1.0, 1.4, 1.7, 1.8)}, {'busy_s': 1.5}, 9.0, True),
+        ({'times': (1.0, 1.6, 1.7, 2.6)}, {'busy_s': 1.5}, 9.0, True),
+        ({'times': (1.0, 1.6, 1.7, 1.8)}, {'busy_s': 1.5}, 2.0, True),
+    ],
+)
+def test_requests_to_workers_that_want_none_are_a_violation(
+    values, told, paused, is_kept
+):
+    observations = make_unwilling_world(**values)
+    unwilling = {'attempt_id': 'r-0', 'worker': 'w', 'at_s': 1.0, 'born_ms': 0}
+    observations.unwilling.append(record.Unwilling(**unwilling | told))
+    plan = schedule.Schedule(
+        faults=(
+            schedule.Fault(
+                at_s=paused,
+                duration_s=0.5,
+                kind=schedule.Kind.NODE_PAUSE,
+                target='entry-1',
+            ),
+        ),
+        storm_ends_s=20.0,
+        planned_from_s=30.0,
+        ends_s=40.0,
+    )
+    violations = [
+        *checks.check_leaving(observations, plan),
+        *checks.check_busy(observations, plan),
+    ]
+    assert (violations == []) is is_kept
+
+
 @pytest.mark.parametrize(('count', 'is_kept'), [(17, True), (18, False)])
 def test_requests_beyond_the_limit_of_a_worker_are_a_violation(count, is_kept):
     """Half of them come from an entry that has not been told."""
