Take away three mechanisms more in the proofs

A request that may have run waits for a held endpoint, a misdirected request holds nothing back, an announced busy time keeps requests away.

--- a/bench/proofs.py
+++ b/bench/proofs.py
@@ -831,6 +831,30 @@
         test='tests/test_standings.py::test_an_endpoint_that_leaves_stays_so_'
         'whatever_it_announces',
     ),
+    Removal(
+        mechanism='a request that may have run waits for a held endpoint',
+        module='gateway/forwarder.py',
+        code='        if state.may_have_run:\n            wait_until',
+        instead='        if False:\n            wait_until',
+        test='tests/test_standings.py::test_a_request_that_may_have_run_waits_'
+        'for_an_endpoint_that_is_held',
+    ),
+    Removal(
+        mechanism='a misdirected request holds nothing back',
+        module='gateway/standings.py',
+        code='if status in REFUSAL_STATUSES:',
+        instead='if True:',
+        test='tests/test_standings.py::test_a_misdirected_request_holds_'
+        'nothing_back',
+    ),
+    Removal(
+        mechanism='an announced busy time keeps requests from an endpoint',
+        module='endpoints/registry.py',
+        code='            and not endpoint.is_busy(now)\n',
+        instead='',
+        test='tests/test_announced_busy_times.py::test_an_endpoint_that_'
+        'announces_to_be_busy_gets_nothing_until_then',
+    ),
 )
 
 
