Remember what a leader plans for each service apart

What callers would have seen: with two services of groups whose idle VMs share a fabric domain, no new group of either once callers had come.

Cause: FormationManager kept one memory for all services: idle VMs of each domain (so no domain was ever settled), loads and warm models (each plan dropped those of the other service's VMs), the count of VMs found. Ruled out: deployments with one such service, for which this changes nothing.

Change: a state for each service; gauges are sums. Not played on real nodes.

--- a/packages/groups/src/apricotthread/groups/formationmanager.py
+++ b/packages/groups/src/apricotthread/groups/formationmanager.py
@@ -100,6 +100,29 @@
     expires_at: float
 
 
+@dataclasses.dataclass(kw_only=True)
+class _ServiceState:
+    """What is remembered of one service from plan to plan."""
+
+    load_by_target: dict[tuple[steps.IncarnationId, str], _Load] = (
+        dataclasses.field(default_factory=dict)
+    )
+    load_limiter: LoadRateLimiter | None = None
+    # The idle VMs of each domain, and since when they are the same.
+    free_since_by_domain: dict[str, tuple[frozenset[str], float]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    warm_model_by_incarnation: dict[steps.IncarnationId, str] = (
+        dataclasses.field(default_factory=dict)
+    )
+    max_vm_count: int = 0
+    last_growth_at: float = 0.0
+    census_logged_at: float = float('-inf')
+    groups: int = 0
+    groups_down: int = 0
+    stranded_vms: int = 0
+
+
 class FormationManager:
     """Plans groups and sends orders while this node is the leader."""
 
@@ -122,8 +145,6 @@
         self._evidence_store = observations
         self._slow_ids = slow_ids
         self._first_heard_at: float | None = None
-        self._max_vm_count = 0
-        self._last_growth_at = 0.0
         self._has_group_history = False
         self._get_table = get_table
         self._sender = sender
@@ -131,15 +152,9 @@
         self._lost_after_s = lost_after_s
         self._leading_since: float | None = None
         self._ordered_at_by_key: dict[tuple, float] = {}
-        self._load_by_target: dict[tuple[steps.IncarnationId, str], _Load] = {}
-        self._free_since_by_domain: dict[
-            str, tuple[frozenset[str], float]
-        ] = {}
-        self._load_limiter: LoadRateLimiter | None = None
+        self._state_by_service: dict[str, _ServiceState] = {}
         self._isolated_since_by_group: dict[tuple[str, int], float] = {}
-        self._warm_model_by_incarnation: dict[steps.IncarnationId, str] = {}
         self._tasks: set[asyncio.Task] = set()
-        self._census_logged_at = float('-inf')
 
     async def run(self) -> None:
         """Plan periodically until cancelled."""
@@ -159,9 +174,14 @@
             table = self._get_table()
             if table is None:
                 continue
-            for service in table.services:
-                if service.engine is not None:
-                    await self._run_plan(service, now)
+            services = [s for s in table.services if s.engine is not None]
+            self._state_by_service = {
+                service.name: self._state_by_service.get(service.name)
+                or _ServiceState()
+                for service in services
+            }
+            for service in services:
+                await self._run_plan(service, now)
 
     @property
     def _ledger(self) -> ledger.Ledger:
@@ -180,7 +200,7 @@
         return self._evidence_store.has_callers or self._has_group_history
 
     def _is_fleet_growing(
-        self, vm_by_id: dict[str, steps.Vm], now: float
+        self, state: _ServiceState, vm_by_id: dict[str, steps.Vm], now: float
     ) -> bool:
         """Whether VMs are still being found after the first start.
 
@@ -189,30 +209,31 @@
         """
         if self._may_have_callers:
             return False
-        if len(vm_by_id) > self._max_vm_count:
-            self._max_vm_count = len(vm_by_id)
-            self._last_growth_at = now
-        return now - self._last_growth_at < GROWTH_SETTLE_S
+        if len(vm_by_id) > state.max_vm_count:
+            state.max_vm_count = len(vm_by_id)
+            state.last_growth_at = now
+        return now - state.last_growth_at < GROWTH_SETTLE_S
 
     async def _run_plan(
         self, service: routetables.Service, now: float
     ) -> None:
+        state = self._state_by_service[service.name]
         planned = []
         with logs.contain_bug(
             'plan_broke', self._env.metrics, service=service.name
         ):
-            planned = self._make_plan(service, now)
+            planned = self._make_plan(service, state, now)
         for step in planned:
             match step:
                 case steps.Propose():
                     await self._propose(step)
                 case steps.Join(needs_load=True) | steps.Stage():
-                    self._order_load(step, service.engine, now)
+                    self._order_load(step, state, service.engine, now)
                 case _:
                     self._order(step, now)
 
     def _make_plan(
-        self, service: routetables.Service, now: float
+        self, service: routetables.Service, state: _ServiceState, now: float
     ) -> list[steps.Step]:
         vm_by_id = {
             endpoint_id: steps.Vm(
@@ -225,8 +246,8 @@
             for endpoint_id, record in self._endpoints.record_by_id.items()
             if record.announcement.service == service.name
         }
-        self._track_warm_models(vm_by_id)
-        self._drop_finished_loads(vm_by_id, now)
+        _track_warm_models(state, vm_by_id)
+        _drop_finished_loads(state, vm_by_id, now)
         planned = formation.Planner(
             service=service.name,
             profile=service.engine,
@@ -236,27 +257,28 @@
             stall_s=self._stall_s,
             knows_most_vms=self._has_listened(now, DISCOVERY_S),
             unheard_means_lost=self._has_listened(now, self._lost_after_s),
-            is_fleet_growing=self._is_fleet_growing(vm_by_id, now),
+            is_fleet_growing=self._is_fleet_growing(state, vm_by_id, now),
             taken_out=frozenset(self._raft.state.content.taken_out),
             has_callers=self._may_have_callers,
             make_id=lambda: self._env.new_id()[:12],
             isolated_since_by_group=self._isolated_since_by_group,
-            free_since_by_domain=self._free_since_by_domain,
+            free_since_by_domain=state.free_since_by_domain,
             ready=readiness.Readiness(
                 profile=service.engine,
-                warm_model_by_incarnation=self._warm_model_by_incarnation,
-                staging_by_incarnation=self._find_stagings(vm_by_id),
+                warm_model_by_incarnation=state.warm_model_by_incarnation,
+                staging_by_incarnation=_find_stagings(state, vm_by_id),
                 now=now,
             ),
             last_epoch=self._ledger.last_fencing,
             evidence_of=self._evidence_store.get_evidence,
         ).plan()
-        self._update_metrics(service, vm_by_id)
+        self._update_metrics(service, state, vm_by_id)
         return planned
 
     def _update_metrics(
         self,
         service: routetables.Service,
+        state: _ServiceState,
         vm_by_id: dict[str, steps.Vm],
     ) -> None:
         """Set the gauges of groups and idle VMs; log the VMs' states."""
@@ -265,52 +287,39 @@
             for group in self._ledger.groups()
             if group.service == service.name and group.members
         ]
+        loading = frozenset(key for key, _ in state.load_by_target)
         count_by_state = census.count_vms(
             vm_by_id=vm_by_id,
             groups=self._ledger.groups(),
-            loading=frozenset(key for key, _ in self._load_by_target),
-        )
-        metrics = self._env.metrics
-        metrics.set_gauge('groups', len(groups))
-        metrics.set_gauge(
-            'groups_down', sum(group.state != 'serving' for group in groups)
+            loading=loading,
         )
-        metrics.set_gauge(
-            'stranded_vms',
-            count_by_state.total() - count_by_state[census.VmState.SERVING],
+        state.groups = len(groups)
+        state.groups_down = sum(group.state != 'serving' for group in groups)
+        state.stranded_vms = (
+            count_by_state.total() - count_by_state[census.VmState.SERVING]
         )
+        for name in ('groups', 'groups_down', 'stranded_vms'):
+            self._env.metrics.set_gauge(
+                name,
+                sum(getattr(s, name) for s in self._state_by_service.values()),
+            )
         now = self._env.timer.now()
-        if now - self._census_logged_at >= CENSUS_PERIOD_S:
-            self._census_logged_at = now
+        if now - state.census_logged_at >= CENSUS_PERIOD_S:
+            state.census_logged_at = now
             logs.log_event(
                 'vm_states',
                 service=service.name,
                 **{
-                    state.value: count_by_state[state]
-                    for state in census.VmState
+                    vm_state.value: count_by_state[vm_state]
+                    for vm_state in census.VmState
                 },
                 spares=census.list_spares(
                     vm_by_id=vm_by_id,
                     groups=self._ledger.groups(),
-                    loading=frozenset(key for key, _ in self._load_by_target),
+                    loading=loading,
                 ),
             )
 
-    def _track_warm_models(self, vm_by_id: dict[str, steps.Vm]) -> None:
-        """Record the model that each VM was last ready to run."""
-        incarnation_ids = {vm.incarnation_id for vm in vm_by_id.values()}
-        for incarnation_id in list(self._warm_model_by_incarnation):
-            if incarnation_id not in incarnation_ids:
-                del self._warm_model_by_incarnation[incarnation_id]
-        for vm in vm_by_id.values():
-            place = vm.last_announcement.place
-            if place is None or len(vm.last_announcement.staged) != 1:
-                continue
-            if place.state is not directory.MemberState.JOINING:
-                self._warm_model_by_incarnation[vm.incarnation_id] = (
-                    vm.last_announcement.staged[0]
-                )
-
     async def _propose(self, step: steps.Propose) -> None:
         logs.log_event(
             'ledger_change',
@@ -334,44 +343,10 @@
 
     # Loads and other orders
 
-    def _find_stagings(
-        self, vm_by_id: dict[str, steps.Vm]
-    ) -> dict[steps.IncarnationId, readiness.Staging]:
-        """Return the loads that are in progress on idle VMs."""
-        idle = {
-            vm.incarnation_id
-            for vm in vm_by_id.values()
-            if vm.last_announcement.place is None
-        }
-        return {
-            incarnation_id: readiness.Staging(
-                model=model, started_at=load.started_at
-            )
-            for (incarnation_id, model), load in self._load_by_target.items()
-            if incarnation_id in idle
-        }
-
-    def _drop_finished_loads(
-        self, vm_by_id: dict[str, steps.Vm], now: float
-    ) -> None:
-        """Forget loads that are done or can no longer be in progress."""
-        usable = {
-            vm.incarnation_id: vm for vm in vm_by_id.values() if vm.is_usable
-        }
-        for (incarnation_id, model), load in list(
-            self._load_by_target.items()
-        ):
-            vm = usable.get(incarnation_id)
-            if (
-                vm is None
-                or now > load.expires_at
-                or model in vm.last_announcement.staged
-            ):
-                del self._load_by_target[incarnation_id, model]
-
     def _order_load(
         self,
         step: steps.Join | steps.Stage,
+        state: _ServiceState,
         profile: routetables.EngineProfile,
         now: float,
     ) -> None:
@@ -384,35 +359,39 @@
                 if can_wait:
                     max_loads = int(WAITING_LOADS_SHARE * max_loads)
         target = (step.vm.incarnation_id, model)
-        if target not in self._load_by_target:
-            if not self._may_start_load(profile, max_loads, now):
+        if target not in state.load_by_target:
+            if not self._may_start_load(state, profile, max_loads, now):
                 return
             max_load_s = MAX_FIRST_LOAD_S
             if self._may_have_callers:
                 max_load_s = 2 * max(m.load_s for m in profile.models)
-            self._load_by_target[target] = _Load(
+            state.load_by_target[target] = _Load(
                 started_at=now, expires_at=now + max_load_s
             )
         self._order(step, now)
 
     def _may_start_load(
-        self, profile: routetables.EngineProfile, max_loads: int, now: float
+        self,
+        state: _ServiceState,
+        profile: routetables.EngineProfile,
+        max_loads: int,
+        now: float,
     ) -> bool:
         """Whether the weight store has capacity for one more load now."""
         if not self._may_have_callers:
             # No caller is waiting yet, so the rate of loads is not limited.
             max_loads = profile.concurrent_loads * 3 // 2
-            return len(self._load_by_target) < max_loads
-        if len(self._load_by_target) >= max_loads:
+            return len(state.load_by_target) < max_loads
+        if len(state.load_by_target) >= max_loads:
             return False
         if (
-            self._load_limiter is None
-            or self._load_limiter.per_s != profile.loads_per_s
+            state.load_limiter is None
+            or state.load_limiter.per_s != profile.loads_per_s
         ):
-            self._load_limiter = LoadRateLimiter(
+            state.load_limiter = LoadRateLimiter(
                 per_s=profile.loads_per_s, refilled_at=now
             )
-        return self._load_limiter.try_acquire(now)
+        return state.load_limiter.try_acquire(now)
 
     def _order(self, step: steps.Step, now: float) -> None:
         """Send an order, unless the same one was sent a moment ago."""
@@ -443,9 +422,9 @@
         )
         self._env.metrics.count('group_orders')
         if isinstance(step, steps.Stage) and not result.is_accepted:
-            self._load_by_target.pop(
-                (step.vm.incarnation_id, step.model), None
-            )
+            target = (step.vm.incarnation_id, step.model)
+            for state in self._state_by_service.values():
+                state.load_by_target.pop(target, None)
         logs.log_event(
             'group_order',
             order=type(step).__name__,
@@ -457,6 +436,59 @@
         )
 
 
+def _track_warm_models(
+    state: _ServiceState, vm_by_id: dict[str, steps.Vm]
+) -> None:
+    """Record the model that each VM was last ready to run."""
+    incarnation_ids = {vm.incarnation_id for vm in vm_by_id.values()}
+    for incarnation_id in list(state.warm_model_by_incarnation):
+        if incarnation_id not in incarnation_ids:
+            del state.warm_model_by_incarnation[incarnation_id]
+    for vm in vm_by_id.values():
+        place = vm.last_announcement.place
+        if place is None or len(vm.last_announcement.staged) != 1:
+            continue
+        if place.state is not directory.MemberState.JOINING:
+            state.warm_model_by_incarnation[vm.incarnation_id] = (
+                vm.last_announcement.staged[0]
+            )
+
+
+def _find_stagings(
+    state: _ServiceState, vm_by_id: dict[str, steps.Vm]
+) -> dict[steps.IncarnationId, readiness.Staging]:
+    """Return the loads that are in progress on idle VMs."""
+    idle = {
+        vm.incarnation_id
+        for vm in vm_by_id.values()
+        if vm.last_announcement.place is None
+    }
+    return {
+        incarnation_id: readiness.Staging(
+            model=model, started_at=load.started_at
+        )
+        for (incarnation_id, model), load in state.load_by_target.items()
+        if incarnation_id in idle
+    }
+
+
+def _drop_finished_loads(
+    state: _ServiceState, vm_by_id: dict[str, steps.Vm], now: float
+) -> None:
+    """Forget loads that are done or can no longer be in progress."""
+    usable = {
+        vm.incarnation_id: vm for vm in vm_by_id.values() if vm.is_usable
+    }
+    for (incarnation_id, model), load in list(state.load_by_target.items()):
+        vm = usable.get(incarnation_id)
+        if (
+            vm is None
+            or now > load.expires_at
+            or model in vm.last_announcement.staged
+        ):
+            del state.load_by_target[incarnation_id, model]
+
+
 def _order_key(step: steps.Step) -> tuple:
     """Return a key that identifies an order, to detect repeats."""
     vm = (
