Back off for as long as a round takes when claims outbid each other

Cause: two rounds at synced registers decide a claim, and one that was outbid tried again after 0.02 to 0.04 s. On a disk whose sync takes longer the claims outbid each other until all time out.

Change: wait at random for up to the time of the rounds, doubled each time, at most 1 s. The test failed before with 0.1 s.

--- a/packages/control/src/apricotthread/control/claims.py
+++ b/packages/control/src/apricotthread/control/claims.py
@@ -16,7 +16,11 @@
 NOT_RUN = 'not_run'
 UNKNOWN = 'unknown'
 CALL_TIMEOUT_S = 1.0
-RETRY_S = 0.02
+# A claim that was outbid waits up to so long, and longer each time. With a wait
+# shorter than a round at the disks, claims outbid each other for ever.
+RETRY_S = 0.04
+MAX_RETRY_S = 1.0
+MAX_DOUBLINGS = 5
 POLL_S = 0.1
 OUTCOME_TIMEOUT_S = 5.0
 MAX_ATTEMPTS = 1000
@@ -199,7 +203,9 @@
     ) -> _DecidedClaim:
         """Run Paxos for the attempt and return the chosen claim."""
         number = 1
+        rounds = 0
         while True:
+            began_at = self._env.timer.now()
             ballot = messages.Ballot(number=number, claim_id=claim.claim_id)
             ballot_replies = await self._ask_all(
                 messages.ClaimPrepare(key=key, attempt=attempt, ballot=ballot)
@@ -226,7 +232,12 @@
                 (reply.promised.number for reply in ballot_replies), default=0
             )
             number = max(number, highest) + 1
-            await self._env.timer.sleep(self._env.jitter(RETRY_S * 2))
+            round_s = max(RETRY_S, self._env.timer.now() - began_at)
+            wait_s = min(
+                MAX_RETRY_S, round_s * 2 ** min(rounds, MAX_DOUBLINGS)
+            )
+            rounds += 1
+            await self._env.timer.sleep(wait_s * self._env.random.random())
 
     async def _await_outcome(
         self, key: str, attempt: int, decided: _DecidedClaim
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -97,6 +97,24 @@
     run_callers(scenario)
 
 
+@pytest.mark.parametrize('sync_s', [0.002, 0.03, 0.1])
+def test_racing_claims_are_decided_on_slow_disks(run_callers, sync_s):
+    """Guards against claims that outbid each other until all are refused."""
+
+    async def scenario(cluster, caller):
+        for disk in cluster.disk_by_id.values():
+            disk.sync_s = sync_s
+        for number in range(5):
+            key = f'k{number}'
+            answers = await asyncio.gather(
+                *(caller.call(n, key) for n in ('l1', 'l2', 'l3') * 2)
+            )
+            assert caller.runs[key] == 1
+            assert len(set(answers)) == 1
+
+    run_callers(scenario)
+
+
 def test_calls_at_the_same_entry_at_the_same_time_run_once(run_callers):
     """Guards against two claims of one node that use the same ballot.
 
