--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,6 +8,7 @@
     'agreement',
     'groups',
     'overload',
+    'perrequest',
     'placing',
     'leaving',
     'slowreaders',
--- a/packages/control/src/apricotthread/control/claims.py
+++ b/packages/control/src/apricotthread/control/claims.py
@@ -16,7 +16,7 @@
 NOT_RUN = 'not_run'
 UNKNOWN = 'unknown'
 CALL_TIMEOUT_S = 1.0
-# A claim that was outbid waits up to so long, and longer each time. With a wait
+# A claim that was outbid waits up to so long, and longer each time. With waits
 # shorter than a round at the disks, claims outbid each other for ever.
 RETRY_S = 0.04
 MAX_RETRY_S = 1.0
