Open the last connection of a drain's test as late as the others

Cause, in the test: all connections were opened 0.2 s before SIGTERM, and the last one brought its requests 0.52 s after it. A stop closes connections on which nothing has arrived for 0.5 s (listeners.RECENT_S) once the grace of 0.5 s is over, so this one was idle and closed 0.02 s before its requests, unless the listener noticed the end of the grace later (it looks every 0.1 s). Ruled out: a request that was read and not answered.

Change: each connection is opened 0.2 s before its requests, so all five have to be answered by the promise, and the result hangs on no poll.

--- a/tests/test_fleet_system.py
+++ b/tests/test_fleet_system.py
@@ -410,7 +410,8 @@
             *(
                 send_pieces(
                     (host, deployment.caller_port),
-                    open_at=began_at - 0.2,
+                    # So soon before it that a stop waits for a request.
+                    open_at=began_at + moment - 0.2,
                     piece_by_moment={
                         began_at + moment: b''.join(
                             make_request(f'{moment}-{number}', path='/bids/1')
