Have the stand-in's answers without end name the limit of their worker

Cause, in the stand-in: bid-2 named a limit and then dripped. The head of a dripping answer was sealed and named no limit, which ends it: by the entries' logs the limit went from 2.0 to 0.0 by an answer 5.03 s after it was named, as the dripping began. Ruled out: an entry beyond a limit that it knew.

Change: all heads of sound answers are made in one place, with the limit and Server-Leaving.

--- a/tests/platformstandin.py
+++ b/tests/platformstandin.py
@@ -332,23 +332,18 @@
     async def _run(self, headers, writer):
         attempt = headers['attempt-id']
         self.run_count_by_attempt[attempt] += 1
-        sealed_headers = self._seal(headers)
         if self.refuses:
             self._reject(writer, headers)
             return
         if 'model' not in headers:
+            sealed_headers = self._seal(headers)
             await asyncio.sleep(self.gap_s)
             await self._outlast_pause()
             self._write(writer, 200, sealed_headers, f'{self.name} {attempt}')
             return
-        lines = ''.join(
-            f'{key}: {value}\r\n' for key, value in sealed_headers.items()
-        )
         writer.write(
-            (
-                f'HTTP/1.1 200 OK\r\n{lines}Content-Type: text/event-stream'
-                '\r\nTransfer-Encoding: chunked\r\n\r\n'
-            ).encode()
+            self.make_head(headers) + b'Content-Type: text/event-stream'
+            b'\r\nTransfer-Encoding: chunked\r\n\r\n'
         )
         start = int(headers.get('last-event-id', 0)) + 1
         try:
@@ -404,11 +399,10 @@
 
     def make_head(self, headers):
         """Return the beginning of the head of a sound answer, as bytes."""
-        attempt = headers['attempt-id']
-        return (
-            f'HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\n'
-            f'Response-Seal: seal-{attempt}\r\n'
-        ).encode()
+        lines = ''.join(
+            f'{key}: {value}\r\n' for key, value in self._seal(headers).items()
+        )
+        return f'HTTP/1.1 200 OK\r\n{lines}'.encode()
 
     def _reject(self, writer, headers):
         """Answer that a request was not run and never will be."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -602,3 +602,15 @@
     )
     violations = checks.check_named_limits(observations, plan)
     assert (violations == []) is is_kept
+
+
+def test_answers_without_end_name_the_limit_of_their_worker():
+    """Guards against a limit that ends with an answer that is sealed."""
+    worker = platformstandin.Worker(
+        name='w', service='bids', data_centre='north', controls=()
+    )
+    worker.limit_per_s = 2.0
+    worker.is_leaving = True
+    head = worker.make_head({'attempt-id': 'r-1'})
+    assert b'Server-Limit: 2.0\r\n' in head
+    assert b'Server-Leaving: 1\r\n' in head
