Take version 0 of a routing table for a version

What operators would have seen: a first config of version 0 is acknowledged, nothing serves, and a read finds no table.

Cause: 0 stood for "no table" in the agreed state, in FleetNode.get_table, in the read and in subscriptions. Ruled out: versions above 0.

--- a/packages/control/src/apricotthread/control/state.py
+++ b/packages/control/src/apricotthread/control/state.py
@@ -42,6 +42,11 @@
     routes_document: bytes = b''
     routes_table: bytes = b''
 
+    @property
+    def has_routes(self) -> bool:
+        """Whether there is a routing table; its version may be 0."""
+        return bool(self.routes_document)
+
 
 class AgreedState:
     """Applies commands in the order of the log."""
@@ -257,7 +262,7 @@
             before=f'version {content.routes_version}',
             after=f'version {command.version}',
         )
-        if command.version > content.routes_version:
+        if not content.has_routes or command.version > content.routes_version:
             content.routes_version = command.version
             content.routes_document = command.document
             content.routes_table = command.table
--- a/packages/daemon/src/apricotthread/daemon/controlservice.py
+++ b/packages/daemon/src/apricotthread/daemon/controlservice.py
@@ -94,10 +94,10 @@
         which table is the newest, and NO_TABLE if there is none.
         """
         if self._raft.role is replica.Role.LEADER:
-            version, document = await self._read_as_leader()
+            _, document = await self._read_as_leader()
         else:
-            version, document = await self._fetch_from_leader()
-        if not version:
+            _, document = await self._fetch_from_leader()
+        if not document:
             raise errors.ApricotError(
                 code=errors.ErrorCode.NO_TABLE,
                 message='no routing table has been submitted yet',
--- a/packages/daemon/src/apricotthread/daemon/fleetnode.py
+++ b/packages/daemon/src/apricotthread/daemon/fleetnode.py
@@ -474,7 +474,7 @@
     def get_table(self) -> routetables.RouteTable | None:
         """Return the agreed routing table, None if there is none."""
         content = self.raft.state.content
-        if not content.routes_version:
+        if not content.has_routes:
             return None
         if self._table is None or (
             self._table.version != content.routes_version
--- a/packages/fleet/src/apricotthread/fleet/publisher.py
+++ b/packages/fleet/src/apricotthread/fleet/publisher.py
@@ -30,7 +30,7 @@
     complete: bool = True
     revision: int = 0
     applied_index: int = 0
-    table_version: int = 0
+    table_version: int = updates.NO_TABLE
 
 
 class Publisher:
@@ -195,7 +195,9 @@
             complete=False,
             revision=self._endpoints.revision,
             applied_index=self._raft.applied_index,
-            table_version=max(table_version, content.routes_version),
+            table_version=max(table_version, content.routes_version)
+            if content.has_routes
+            else table_version,
         )
 
     def _encode_update(self, sent: '_Sent', current: '_Sent') -> bytes:
--- a/tests/retryworld.py
+++ b/tests/retryworld.py
@@ -175,6 +175,8 @@
 class RetryWorld:
     """Control nodes c1 to c3 and entries e1, e2 and so on, with callers."""
 
+    table = TABLE
+
     def __init__(self, *, env, seed, entries=9, workers=12):
         self.env = env
         self.random = random.Random(seed)
@@ -414,7 +416,7 @@
                 await self.env.timer.sleep(0.05)
             leader = self.node_by_id[self.leader_id()]
             await leader.control.service.replace_table(
-                msgspec.json.encode({}), TABLE, source='test'
+                msgspec.json.encode({}), self.table, source='test'
             )
             self.spawn(self._announce())
             while not all(
