Keep the wire of subscriptions as nodes of the version before read it

Found as the last change was read: a subscriber without a table sent -1 in a field that was unsigned, which a control node of the version before reads as 2^64 - 1, a table newer than any, so a new entry would get none from it in a rolling update. By reading; no run of two versions was made.

Change: 0 again stands for "no table, or the one of version 0", whose table is sent once more; entries take no table twice. The tests of tables with version 0 pass as before.

--- a/packages/fleet/src/apricotthread/fleet/publisher.py
+++ b/packages/fleet/src/apricotthread/fleet/publisher.py
@@ -21,6 +21,7 @@
 FIND_LOST_PERIOD_S = 0.1
 MAX_KEPT_INDEXES = 128  # a subscriber further behind gets a full update
 MAX_KEPT_PAYLOADS = 32  # nearly all subscribers have the same state
+NO_TABLE = -1  # the version of a table may be 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -30,7 +31,7 @@
     complete: bool = True
     revision: int = 0
     applied_index: int = 0
-    table_version: int = updates.NO_TABLE
+    table_version: int = NO_TABLE
 
 
 class Publisher:
@@ -171,7 +172,8 @@
     ) -> None:
         """Send updates to an entry until it cancels or disconnects."""
         logs.log_event('subscriber_found', peer=peer.node_id)
-        sent = _Sent(table_version=body.table_version)
+        # A subscriber with the table of version 0 gets it once more.
+        sent = _Sent(table_version=body.table_version or NO_TABLE)
         try:
             while True:
                 changed = self._state_changed
@@ -191,13 +193,13 @@
     def _current_state(self, table_version: int) -> '_Sent':
         """Return the state of a subscriber that has received everything."""
         content = self._raft.state.content
+        if content.has_routes:
+            table_version = max(table_version, content.routes_version)
         return _Sent(
             complete=False,
             revision=self._endpoints.revision,
             applied_index=self._raft.applied_index,
-            table_version=max(table_version, content.routes_version)
-            if content.has_routes
-            else table_version,
+            table_version=table_version,
         )
 
     def _encode_update(self, sent: '_Sent', current: '_Sent') -> bytes:
--- a/packages/fleet/src/apricotthread/fleet/subscriber.py
+++ b/packages/fleet/src/apricotthread/fleet/subscriber.py
@@ -70,7 +70,7 @@
     async def _receive_updates(self, link: links.PeerLink) -> None:
         table = self._fleet.table
         request = messages.Subscribe(
-            table_version=updates.NO_TABLE if table is None else table.version
+            table_version=table.version if table else 0
         )
         async with link.open_stream(request) as stream:
             while not stream.finished:
--- a/packages/fleet/src/apricotthread/fleet/updates.py
+++ b/packages/fleet/src/apricotthread/fleet/updates.py
@@ -4,9 +4,6 @@
 
 from apricotthread.endpoints import directory
 
-# What a subscriber without a table has; a table's version may be 0.
-NO_TABLE = -1
-
 
 class GroupNews(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """A group in the ledger; the first member is the head."""
--- a/packages/nodes/src/apricotthread/nodes/peer.capnp
+++ b/packages/nodes/src/apricotthread/nodes/peer.capnp
@@ -315,7 +315,7 @@
 
 struct NodesReply { nodes @0 :List(KnownNode); }
 
-struct Subscribe { tableVersion @0 :Int64; }
+struct Subscribe { tableVersion @0 :UInt64; }
 
 struct Update { payload @0 :Data; }
 
