--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,7 @@
-"""CONFIG: a config whose route names an unknown service is acknowledged."""
+"""CONFIG: configs that are invalid are acknowledged and put in force."""
 
 import asyncio
+import json
 import pathlib
 import sys
 
@@ -44,12 +45,22 @@
                 f'unknown service "ghost": {status}')
             is_broken |= status == 200
             await asyncio.sleep(0.5)
+        damaged = json.dumps(make_config(21)).encode().replace(
+            b'"protocol": "h1"', b'"protocol": "h\xc3"', 1)
+        status = await operator.put(damaged, within_s=5.0)
+        record.add(f'operator sends version 21, a byte of which is damaged, '
+                   f'so that it is no UTF-8: {status}')
+        is_broken |= status == 200
     await asyncio.sleep(2.5)
     held = await operator.get()
     if held is None:
         return standin.COULD_NOT_RUN
-    record.add(f'operator reads version {held["version"]} back')
-    is_broken |= held['version'] != 5
+    try:
+        version = json.loads(held)['version']
+    except UnicodeDecodeError as error:
+        version = f'unreadable ({error.reason})'
+    record.add(f'operator reads back: version {version}')
+    is_broken |= version != 5
     return standin.BROKEN if is_broken else standin.HELD
 
 
--- a/review/standin2.py
+++ b/review/standin2.py
@@ -350,11 +350,11 @@
         return 0
 
     async def get(self):
-        """Return the config that is read back, None if none comes."""
+        """Return the bytes of the config read back, None if none comes."""
         for address in self._platform.control_addresses():
             answer = await call(address, 'GET', '/-/config/get')
             if answer is not None and answer[0] == 200:
-                return json.loads(answer[2])
+                return answer[2]
         return None
 
 
