--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,7 +1,7 @@
-"""CONFIG: a route is served no more, as its worker moved and lost its address.
+"""CONFIG: a route is served no more, as its workers start at other addresses.
 
-A worker crashes and starts again under its id at another address. Its old
-address is given to a new worker of another service.
+One at a time, the workers of a service crash and start again under their ids
+at other addresses. Their old ones are given to new workers of another service.
 """
 
 import asyncio
@@ -19,6 +19,8 @@
 CONTACT_S = 3.0
 ADDR_REUSE_S = 2.0
 DARK_S = 2.5
+GAP_S = 3.0
+DESKS, SHOPS = 6, 7
 REQUESTS = 30
 
 
@@ -84,9 +86,9 @@
             platform, record, name=name or f'i-{number:08x}', service=service,
             zone=standin.ZONES[number % 3], number=number, slots=6)
 
-    workers = [make_worker(number, 'desk') for number in range(6)]
-    moved = make_worker(6, 'shop')
-    for worker in (*workers, moved):
+    desks = [make_worker(number, 'desk') for number in range(DESKS)]
+    shops = [make_worker(DESKS + number, 'shop') for number in range(SHOPS)]
+    for worker in (*desks, *shops):
         await worker.start_at(worker.host, 0)
     await platform.wait_ready()
     await asyncio.sleep(CONTACT_S + 1.0)
@@ -96,28 +98,40 @@
     await asyncio.sleep(2 * CONFIG_APPLY_S)
     if await ask_both(platform, record, 5) != (5, 5):
         return standin.COULD_NOT_RUN
-    new = make_worker(8, 'desk')
-    if standin.TROUBLE:
-        host, _, port = moved.address.rpartition(':')
-        moved.crash()
+
+    async def move(index):
+        """Have one worker crash, and a new one start at its address."""
+        old = shops[index]
+        host, _, port = old.address.rpartition(':')
+        if standin.TROUBLE:
+            old.crash()
         await asyncio.sleep(DARK_S)
-        moved = make_worker(7, 'shop', name=moved.name)
-        await moved.start_at(moved.host, 0)
+        if standin.TROUBLE:
+            again = make_worker(DESKS + SHOPS + index, 'shop', name=old.name)
+            await again.start_at(again.host, 0)
+            shops[index] = again
         await asyncio.sleep(ADDR_REUSE_S)
-        new = make_worker(8, 'desk')
+        new = make_worker(DESKS + 2 * SHOPS + index, 'desk')
+        if not standin.TROUBLE:
+            host, port = new.host, 0
         await new.start_at(host, int(port))
-    else:
-        await asyncio.sleep(DARK_S + ADDR_REUSE_S)
-        await new.start_at(new.host, 0)
+        desks.append(new)
+
+    moves = []
+    for index in range(SHOPS):
+        moves.append(asyncio.create_task(move(index)))
+        await asyncio.sleep(GAP_S)
+    await asyncio.gather(*moves)
     await asyncio.sleep(2 * CONTACT_S)
     first, added = await ask_both(platform, record, REQUESTS)
-    for address in platform.control_addresses():
+    for worker in shops:
+        address = random.choice(platform.control_addresses())
         answer = await standin.call(
-            address, 'POST', f'/-/instances/{moved.name}/heartbeat',
-            body=json.dumps(moved.describe()).encode(),
+            address, 'POST', f'/-/instances/{worker.name}/heartbeat',
+            body=json.dumps(worker.describe()).encode(),
             headers={'Content-Type': 'application/json'})
         status = 0 if answer is None else answer[0]
-        record.add(f'worker {moved.name} at {moved.address} checks in at '
+        record.add(f'worker {worker.name} at {worker.address} checks in at '
                    f'{address}: {status}')
         if status != 200:
             return standin.COULD_NOT_RUN
