--- a/packages/base/src/apricotthread/base/numbers.py
+++ b/packages/base/src/apricotthread/base/numbers.py
@@ -8,10 +8,10 @@
 
 from apricotthread.base import decoding
 
-_INTEGER = re.compile(r'[0-9]{1,19}', re.ASCII)
 _DECIMAL = re.compile(r'[0-9]{1,20}(\.[0-9]{0,20})?', re.ASCII)
 _DIGITS = re.compile(r'[0-9]+(\.[0-9]*)?', re.ASCII)
 WHITESPACE = ' \t'
+MAX_DIGITS = 19  # of the largest integer
 
 
 def parse_integer(
@@ -19,7 +19,7 @@
 ) -> int | None:
     """Return a whole number from 0 to `maximum`, None for all else."""
     text = text.strip(WHITESPACE)
-    if not _INTEGER.fullmatch(text):
+    if not (text.isdigit() and text.isascii() and len(text) <= MAX_DIGITS):
         return None
     number = int(text)
     return number if number <= maximum else None
