Cut a stream that breaks after data without an id

Events whose data has no id can't be named to the next endpoint. A stream that broke off after such data was resumed all the same, and the next endpoint, which goes on after the last id, would send that data again.

Change: the splitter says whether the stream can be resumed, and the forwarder cuts it if not.

The test failed before: its stream went on and ended as complete.

--- a/packages/gateway/src/apricotthread/gateway/forwarder.py
+++ b/packages/gateway/src/apricotthread/gateway/forwarder.py
@@ -804,6 +804,8 @@
                 return
             except attempts.AttemptFailure as failure:
                 state.may_have_run |= not failure.not_run
+                if not splitter.can_resume:
+                    raise AnswerCut(failure.reason) from failure
                 if self._may_retry(request, state, failure, request_trace):
                     splitter.restart()
                     continue
--- a/tests/test_errors_after_broken_streams.py
+++ b/tests/test_errors_after_broken_streams.py
@@ -109,10 +109,11 @@
         self.body += data
 
 
-async def play(wrong_answer, *, sound_from, begun=BEGUN):
+async def play(wrong_answer, *, sound_from, begun=BEGUN, more=b''):
     """Break a stream off, and have later attempts answered wrongly.
 
     The attempt with the number `sound_from` is answered as it should be.
+    The first one ends with `more`.
     Return the sink, and whether the answer was cut.
     """
     env = environment.make_environment()
@@ -131,7 +132,7 @@
         last_event_id = int(head.split(b'last-event-id: ')[1].split()[0])
         if attempts == 1:
             writer.write(
-                make_chunked(200, make_events(1, begun)).removesuffix(
+                make_chunked(200, make_events(1, begun) + more).removesuffix(
                     b'0\r\n\r\n'
                 )
             )
@@ -198,3 +199,12 @@
     nothing = make_answer(200, b'')
     sink, is_cut = asyncio.run(play(nothing, sound_from=9, begun=EVENTS))
     assert (sink.body, sink.has_ended, is_cut) == (make_events(1), True, False)
+
+
+def test_a_stream_that_breaks_after_data_without_an_id_is_cut():
+    """Guards against that data twice: no id tells the next endpoint of it."""
+    sound = make_answer(200, make_events(BEGUN + 1))
+    data = b'data: no id\n\n'
+    sink, is_cut = asyncio.run(play(sound, sound_from=2, more=data))
+    assert (sink.body, sink.has_ended) == (make_events(1, BEGUN) + data, False)
+    assert is_cut
