Compare hosts in every writing of theirs

Cause: hosts were read in two places, in requests in lower case and without a port, in configurations as they are. Ruled out: a version that is not in force; its other route was served.

--- a/packages/control/src/apricotthread/control/routetables.py
+++ b/packages/control/src/apricotthread/control/routetables.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from apricotthread.base import hosts
+
 
 class Repeat(enum.Enum):
     """Whether a request that may have run may be repeated.
@@ -137,11 +139,12 @@
             faults.append(f'the weights of route {route.name!r} add up to 0')
         if route.timeout_s <= 0:
             faults.append(f'route {route.name!r} has no timeout')
-        if (route.host, route.prefix) in host_prefix_pairs:
+        key = (hosts.normalize_host(route.host), route.prefix)
+        if key in host_prefix_pairs:
             faults.append(
                 f'route {route.name!r} has the host and prefix of another'
             )
-        host_prefix_pairs.add((route.host, route.prefix))
+        host_prefix_pairs.add(key)
     name_by_key: dict[str, str] = {}
     for account in table.accounts:
         for key in account.keys:
