Keep endpoints that moved when their old address is used again

Cause: the directory's map from addresses to ids kept the old address of an id that had moved, so the next endpoint there marked the moved one as gone. Ruled out: entries with an old view; the control nodes had them as gone.

Change: one record of the latest start that had each address. It depends on no order of messages. A late heartbeat of an id that is known no longer replaces a later endpoint at its address, either.

--- a/packages/endpoints/src/apricotthread/endpoints/directory.py
+++ b/packages/endpoints/src/apricotthread/endpoints/directory.py
@@ -86,6 +86,14 @@
     lost: bool = False
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Tenure:
+    """The endpoint with the latest start of all that had an address."""
+
+    endpoint_id: str
+    born_ms: int
+
+
 class Directory:
     """Stores the newest announcement of each endpoint.
 
@@ -107,26 +115,18 @@
         self._last_check_at: float | None = None
         self.revision = 0
         self.record_by_id: dict[str, EndpointRecord] = {}
-        self.id_by_address: dict[str, str] = {}
+        self._tenure_by_address: dict[str, _Tenure] = {}
+        # When the endpoint of a tenure has started again elsewhere. For some
+        # time announcements of those before it may still come.
+        self._left_at_by_address: dict[str, float] = {}
 
     def apply(self, heard: Heard) -> bool:
         """Store an announcement if it is new; return whether it is."""
         announced = heard.announcement
         heard_at = self._env.timer.now() - heard.age_s
         stored = self.record_by_id.get(announced.endpoint_id)
-        if stored is None and self._is_superseded(announced):
-            logs.log_event(
-                'announcement_superseded',
-                endpoint=announced.endpoint_id,
-                address=announced.address,
-            )
-            return False
         if stored is None:
-            stored = EndpointRecord(announcement=announced, heard_at=heard_at)
-            self.record_by_id[announced.endpoint_id] = stored
-            self._record_change(stored, 'endpoint_found', gone=heard.gone)
-            self._supersede(announced)
-            return True
+            return self._add(heard, heard_at)
         old = stored.announcement
         if heard.gone and announced.born_ms == old.born_ms:
             return self._mark_gone(stored, announced)
@@ -140,15 +140,37 @@
             # An answer may have said so before the announcements do.
             announced = msgspec.structs.replace(announced, leaving=True)
         changed = stored.lost or _has_changed(announced, old)
+        if announced.address != old.address:
+            self._leave_address(old, restarted=announced.born_ms > old.born_ms)
         stored.announcement = announced
         stored.heard_at = max(stored.heard_at, heard_at)
         stored.lost = False
+        is_superseded = self._is_superseded(announced)
         if announced.born_ms > old.born_ms:
-            stored.gone = heard.gone
-            self._record_change(stored, 'endpoint_restarted', gone=heard.gone)
-            self._supersede(announced)
+            stored.gone = False
+            self._record_change(
+                stored, 'endpoint_restarted', gone=heard.gone or is_superseded
+            )
         elif changed:
-            self._record_change(stored, 'endpoint_changed')
+            self._record_change(stored, 'endpoint_changed', gone=is_superseded)
+        if not is_superseded:
+            self._take_address(announced)
+        return True
+
+    def _add(self, heard: Heard, heard_at: float) -> bool:
+        """Store the first announcement of an endpoint if it is of use."""
+        announced = heard.announcement
+        if self._is_superseded(announced):
+            logs.log_event(
+                'announcement_superseded',
+                endpoint=announced.endpoint_id,
+                address=announced.address,
+            )
+            return False
+        record = EndpointRecord(announcement=announced, heard_at=heard_at)
+        self.record_by_id[announced.endpoint_id] = record
+        self._record_change(record, 'endpoint_found', gone=heard.gone)
+        self._take_address(announced)
         return True
 
     def _mark_gone(
@@ -171,25 +193,39 @@
         return True
 
     def _is_superseded(self, announced: Announcement) -> bool:
-        """Whether an endpoint that started later has the address."""
-        holder = self.record_by_id.get(
-            self.id_by_address.get(announced.address, '')
-        )
-        return (
-            holder is not None
-            and holder.announcement.born_ms > announced.born_ms
-        )
+        """Whether an endpoint that started later has, or had, the address."""
+        tenure = self._tenure_by_address.get(announced.address)
+        return tenure is not None and tenure.born_ms > announced.born_ms
 
-    def _supersede(self, announced: Announcement) -> None:
+    def _take_address(self, announced: Announcement) -> None:
         """Mark the endpoint that had the address before as gone."""
-        holder_id = self.id_by_address.get(
-            announced.address, announced.endpoint_id
+        taken = _Tenure(
+            endpoint_id=announced.endpoint_id, born_ms=announced.born_ms
         )
-        self.id_by_address[announced.address] = announced.endpoint_id
-        holder = self.record_by_id.get(holder_id)
-        if holder is None or holder_id == announced.endpoint_id or holder.gone:
+        tenure = self._tenure_by_address.get(announced.address)
+        if tenure == taken:
+            return
+        if tenure is not None and tenure.endpoint_id != announced.endpoint_id:
+            former = self.record_by_id.get(tenure.endpoint_id)
+            # One that has started again elsewhere is not gone.
+            if (
+                former is not None
+                and former.announcement.address == announced.address
+                and not former.gone
+            ):
+                self._record_change(former, 'endpoint_superseded', gone=True)
+        self._tenure_by_address[announced.address] = taken
+        self._left_at_by_address.pop(announced.address, None)
+
+    def _leave_address(self, old: Announcement, *, restarted: bool) -> None:
+        """Record that an endpoint is no longer at its former address."""
+        tenure = self._tenure_by_address.get(old.address)
+        if tenure is None or tenure.endpoint_id != old.endpoint_id:
             return
-        self._record_change(holder, 'endpoint_superseded', gone=True)
+        if restarted:
+            self._left_at_by_address[old.address] = self._env.timer.now()
+        else:
+            del self._tenure_by_address[old.address]
 
     def _record_change(
         self, record: EndpointRecord, event: str, *, gone: bool = False
@@ -254,11 +290,11 @@
                 self._record_change(record, 'endpoint_lost')
             if silent_s > FORGET_GONE_AFTER_S and (record.gone or record.lost):
                 del self.record_by_id[endpoint_id]
-                if (
-                    self.id_by_address.get(record.announcement.address)
-                    == endpoint_id
-                ):
-                    del self.id_by_address[record.announcement.address]
+                self._leave_address(record.announcement, restarted=False)
+        for address, left_at in list(self._left_at_by_address.items()):
+            if now - left_at > FORGET_GONE_AFTER_S:
+                del self._left_at_by_address[address]
+                del self._tenure_by_address[address]
 
     def _discount_pause(self, now: float) -> None:
         """Do not count a pause of this node as silence of the endpoints."""
