Take answers with status 000 for a failure of their endpoint

Cause: every status below 200 was skipped as an interim answer, its body was not; and statuses that the HTTP server can't write were passed on to it. Ruled out: the parser, which reports what was sent.

Change: AnswerReader, taken out of EndpointConnection, reads answers by the standards. What is no answer fails the attempt at once and is logged with its first bytes. The lengths of 204, 304 and of answers to HEAD are not waited for.

--- a/bench/proofs.py
+++ b/bench/proofs.py
@@ -308,8 +308,8 @@
     ),
     Removal(
         mechanism='an answer ends with its connection only without a length',
-        module='endpoints/connections.py',
-        code='            and self._ends_with_connection\n',
+        module='endpoints/answerreader.py',
+        code='            and self.ends_with_connection\n',
         instead='',
         test='tests/test_connections.py::test_a_truncated_answer_raises_'
         'connection_lost',
@@ -324,7 +324,7 @@
     ),
     Removal(
         mechanism='a head without end is given up',
-        module='endpoints/connections.py',
+        module='endpoints/answerreader.py',
         code='if self._bytes_without_body > MAX_HEAD_BYTES:',
         instead='if False:',
         test='tests/test_connections.py::test_an_answer_without_end_is_given_'
--- a/packages/daemon/src/apricotthread/daemon/controlservice.py
+++ b/packages/daemon/src/apricotthread/daemon/controlservice.py
@@ -256,8 +256,5 @@
         `born_ms` is the start of the endpoint that leaves, in Unix ms, or 0
         if it is unknown.
         """
-        last_born_ms = self._fleet_publisher.born_ms(endpoint_id)
-        if last_born_ms is None or (born_ms and born_ms < last_born_ms):
+        if not self._fleet_publisher.leave(endpoint_id, born_ms):
             logs.log_event('farewell_ignored', endpoint=endpoint_id)
-            return
-        self._fleet_publisher.leave(endpoint_id)
--- a/packages/endpoints/src/apricotthread/endpoints/client.py
+++ b/packages/endpoints/src/apricotthread/endpoints/client.py
@@ -17,6 +17,7 @@
 from apricotthread.base import errors
 from apricotthread.base import units
 from apricotthread.endpoints import announcements
+from apricotthread.endpoints import answerreader
 from apricotthread.endpoints import connections
 
 CONNECT_TIMEOUT_S = 1.0
@@ -354,7 +355,7 @@
         )
 
 
-def _make_head(answer: connections.Answer) -> PlainHead:
+def _make_head(answer: answerreader.Answer) -> PlainHead:
     headers = [
         (name.decode('latin-1'), value.decode('latin-1'))
         for name, value in answer.headers
--- a/packages/endpoints/src/apricotthread/endpoints/connections.py
+++ b/packages/endpoints/src/apricotthread/endpoints/connections.py
@@ -3,15 +3,13 @@
 import asyncio
 import collections
 import collections.abc
-import dataclasses
 import socket
 
-import httptools
-
 from apricotthread.base import environment
 from apricotthread.base import errors
-from apricotthread.base import numbers
+from apricotthread.base import logs
 from apricotthread.base import units
+from apricotthread.endpoints import answerreader
 
 # A running VM in the same region accepts within milliseconds.
 CONNECT_TIMEOUT_S = 0.4
@@ -20,11 +18,8 @@
 # A request that must not be repeated only reuses connections idle for less.
 FRESH_IDLE_S = 0.25
 DEFAULT_IDLE_S = 5.0  # if an endpoint names no idle timeout
-MAX_IDLE_S = 600.0
 READ_AHEAD_BYTES = 64 * units.KIB
-# What an endpoint may send without a byte of a body: a head, trailers, or
-# the framing of a body.
-MAX_HEAD_BYTES = 64 * units.KIB
+LOGGED_BYTES = 80  # of an answer that can't be read
 MAX_FETCHED_BYTES = 256 * units.KIB  # answers to this node's own requests
 # TCP_USER_TIMEOUT (Linux): how long sent bytes may stay unacknowledged.
 USER_TIMEOUT_MS = 3000
@@ -43,21 +38,6 @@
         self.sent = sent
 
 
-@dataclasses.dataclass(kw_only=True)
-class Answer:
-    """Status and headers of an answer; header names are in lower case."""
-
-    status: int
-    headers: list[tuple[bytes, bytes]]
-
-    def get(self, name: bytes) -> str:
-        """Return the first value of a header, empty if it is missing."""
-        for header, value in self.headers:
-            if header == name:
-                return value.decode('latin-1')
-        return ''
-
-
 class EndpointConnection(asyncio.Protocol):
     """A connection that carries one request at a time."""
 
@@ -75,17 +55,9 @@
         self.last_used_at = env.timer.now()
         self.is_new = True
         self._transport: asyncio.Transport | None = None
-        self._parser: httptools.HttpResponseParser | None = None
-        self._answer: Answer | None = None
-        self._chunks: collections.deque[bytes] = collections.deque()
-        self._buffered_bytes = 0
-        self._bytes_without_body = 0
-        self._is_complete = False
-        self._ends_with_connection = False
+        self._reader = answerreader.AnswerReader()
         self._is_busy = False
-        self._expects_body = True
         self._failure = ''
-        self._can_be_reused = True
         self._waiter: asyncio.Future | None = None
         self.received_at = 0.0
 
@@ -101,21 +73,24 @@
         )
 
     def data_received(self, data: bytes) -> None:
-        """Parse bytes; bytes outside an answer close the connection."""
+        """Read bytes; bytes outside an answer close the connection."""
         self.received_at = self._env.timer.now()
-        if not self._is_busy or self._is_complete:
+        reader = self._reader
+        if not self._is_busy or reader.is_complete:
             self._fail('bytes after the answer')
             return
-        self._bytes_without_body += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            self._fail(f'not an HTTP answer: {type(error).__name__}')
-            return
-        if self._bytes_without_body > MAX_HEAD_BYTES:
-            self._fail('a head without end')
+        reader.feed(data)
+        if reader.failure and not reader.is_complete:
+            self._env.metrics.count('answers_unreadable')
+            logs.log_event(
+                'answer_unreadable',
+                address=self.address,
+                reason=reader.failure,
+                bytes=repr(data[:LOGGED_BYTES]),
+            )
+            self._fail(reader.failure)
             return
-        if self._buffered_bytes > self._read_ahead_bytes:
+        if reader.buffered_bytes > self._read_ahead_bytes:
             self._transport.pause_reading()
         self._wake()
 
@@ -125,15 +100,8 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Complete an answer that ends with the connection, or fail it."""
-        if (
-            error is None
-            and self._is_busy
-            and self._answer is not None
-            and self._ends_with_connection
-            and not self._failure
-        ):
-            self._is_complete = True
-            self._can_be_reused = False
+        if error is None and self._is_busy and not self._failure:
+            self._reader.end()
         self._fail('reset' if error else 'closed')
 
     def _fail(self, reason: str) -> None:
@@ -152,64 +120,12 @@
         finally:
             self._waiter = None
 
-    # Parser callbacks
-
-    def on_message_begin(self) -> None:
-        """Refuse a second answer that follows in the same bytes."""
-        if self._is_complete:
-            self._can_be_reused = False
-            self._failure = self._failure or 'a second answer'
-            return
-        self._headers: list[tuple[bytes, bytes]] = []
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
-        if not self._is_complete:
-            self._headers.append((name.lower(), value))
-
-    def on_headers_complete(self) -> None:
-        """Store the head, how the answer ends and the idle timeout."""
-        if self._is_complete:
-            return
-        status = self._parser.get_status_code()
-        if status < 200:
-            return
-        names = {name for name, _ in self._headers}
-        self._answer = Answer(status=status, headers=self._headers)
-        self._ends_with_connection = not (
-            names & {b'content-length', b'transfer-encoding'}
-        ) and status not in (204, 304)
-        if not self._parser.should_keep_alive():
-            self._can_be_reused = False
-        if not self._expects_body:
-            # The parser takes a length in the head for that of a body.
-            self._can_be_reused = False
-            self._is_complete = True
-        for part in self._answer.get(b'keep-alive').split(','):
-            key, _, value = part.strip().partition('=')
-            if key == 'timeout':
-                idle_limit_s = numbers.parse_clamped(value, maximum=MAX_IDLE_S)
-                if idle_limit_s is not None:
-                    self.idle_limit_s = idle_limit_s
-
-    def on_body(self, body: bytes) -> None:
-        """Buffer a piece of the body."""
-        if not self._is_complete:
-            self._chunks.append(body)
-            self._buffered_bytes += len(body)
-            self._bytes_without_body = 0
-
-    def on_message_complete(self) -> None:
-        """Mark the answer as complete."""
-        if self._answer is not None:
-            self._is_complete = True
-
     # Sending requests and reading answers
 
     @property
     def ends_with_connection(self) -> bool:
         """Whether the present answer has neither a length nor chunks."""
-        return self._ends_with_connection
+        return self._reader.ends_with_connection
 
     @property
     def is_usable(self) -> bool:
@@ -226,55 +142,47 @@
             raise ConnectionLost(
                 reason=self._failure or 'closed before use', sent=False
             )
-        self._parser = httptools.HttpResponseParser(self)
-        self._answer = None
-        self._is_complete = False
-        self._ends_with_connection = False
-        self._bytes_without_body = 0
-        self._expects_body = expects_body
+        self._reader = answerreader.AnswerReader(expects_body=expects_body)
         self._is_busy = True
         self._transport.write(request)
 
-    async def read_head(self) -> Answer:
+    async def read_head(self) -> answerreader.Answer:
         """Return status and headers; raises ConnectionLost."""
-        while self._answer is None:
+        while self._reader.answer is None:
             if self._failure:
                 raise ConnectionLost(reason=self._failure, sent=True)
             await self._wait()
-        return self._answer
+        if self._reader.idle_limit_s is not None:
+            self.idle_limit_s = self._reader.idle_limit_s
+        return self._reader.answer
 
     async def read(self) -> bytes:
         """Return the next bytes of the body, empty at its end.
 
         Raises ConnectionLost if the answer breaks off.
         """
-        while not self._chunks:
-            if self._is_complete:
+        reader = self._reader
+        while not reader.buffered_bytes:
+            if reader.is_complete:
                 return b''
             if self._failure:
                 raise ConnectionLost(reason=self._failure, sent=True)
             await self._wait()
-        data = (
-            self._chunks.popleft()
-            if len(self._chunks) == 1
-            else b''.join(self._chunks)
-        )
-        self._chunks.clear()
-        if self._buffered_bytes > self._read_ahead_bytes and self.is_usable:
+        if reader.buffered_bytes > self._read_ahead_bytes and self.is_usable:
             self._transport.resume_reading()
-        self._buffered_bytes = 0
-        return data
+        return reader.take_body()
 
     def finish(self) -> bool:
         """End the current request; return whether to keep the connection.
 
         A connection that cannot be reused is closed.
         """
+        reader = self._reader
         can_keep = (
-            self._is_complete
-            and self._can_be_reused
+            reader.is_complete
+            and reader.may_keep_connection
             and self.is_usable
-            and not self._chunks
+            and not reader.buffered_bytes
             and self._transport.get_write_buffer_size() == 0
         )
         self._is_busy = False
@@ -400,7 +308,7 @@
     request: bytes,
     timeout_s: float,
     is_allowed: collections.abc.Callable[[], bool] = lambda: True,
-) -> tuple[Answer, bytes]:
+) -> tuple[answerreader.Answer, bytes]:
     """Send a small request; return the head and body of its answer.
 
     The answers to such requests do not say which request they belong to, so
--- a/packages/endpoints/src/apricotthread/endpoints/directory.py
+++ b/packages/endpoints/src/apricotthread/endpoints/directory.py
@@ -116,12 +116,17 @@
         self.revision = 0
         self.record_by_id: dict[str, EndpointRecord] = {}
         self._tenure_by_address: dict[str, _Tenure] = {}
-        # When the endpoint of a tenure has started again elsewhere. For some
-        # time announcements of those before it may still come.
-        self._left_at_by_address: dict[str, float] = {}
+        # When an endpoint last said that it was there. For some time after
+        # that, announcements of those before it may still come.
+        self._noted_at_by_address: dict[str, float] = {}
+        self._forgot_at = float('-inf')
 
     def apply(self, heard: Heard) -> bool:
-        """Store an announcement if it is new; return whether it is."""
+        """Store an announcement; return whether it says anything new."""
+        has_superseded = self._note_start(heard.announcement)
+        return self._store(heard) or has_superseded
+
+    def _store(self, heard: Heard) -> bool:
         announced = heard.announcement
         heard_at = self._env.timer.now() - heard.age_s
         stored = self.record_by_id.get(announced.endpoint_id)
@@ -135,13 +140,15 @@
                 stored, announced.born_ms
             )
         if announced.born_ms == old.born_ms and stored.gone:
-            return False
+            return self._complete_gone(stored, announced)
         if old.leaving and announced.born_ms == old.born_ms:
             # An answer may have said so before the announcements do.
             announced = msgspec.structs.replace(announced, leaving=True)
         changed = stored.lost or _has_changed(announced, old)
-        if announced.address != old.address:
-            self._leave_address(old, restarted=announced.born_ms > old.born_ms)
+        if announced.born_ms == old.born_ms and (
+            announced.address != old.address
+        ):
+            self._forget_start(old)
         stored.announcement = announced
         stored.heard_at = max(stored.heard_at, heard_at)
         stored.lost = False
@@ -153,8 +160,6 @@
             )
         elif changed:
             self._record_change(stored, 'endpoint_changed', gone=is_superseded)
-        if not is_superseded:
-            self._take_address(announced)
         return True
 
     def _add(self, heard: Heard, heard_at: float) -> bool:
@@ -170,7 +175,6 @@
         record = EndpointRecord(announcement=announced, heard_at=heard_at)
         self.record_by_id[announced.endpoint_id] = record
         self._record_change(record, 'endpoint_found', gone=heard.gone)
-        self._take_address(announced)
         return True
 
     def _mark_gone(
@@ -183,6 +187,16 @@
         self._record_change(stored, 'endpoint_gone', gone=True)
         return True
 
+    def _complete_gone(
+        self, stored: EndpointRecord, announced: Announcement
+    ) -> bool:
+        """Store what an endpoint was whose farewell came first."""
+        if stored.announcement.address:
+            return False
+        stored.announcement = announced
+        self._record_change(stored, 'endpoint_gone', gone=True)
+        return True
+
     def _mark_leaving(self, stored: EndpointRecord, born_ms: int) -> bool:
         """Mark an incarnation as leaving; return whether that is news."""
         old = stored.announcement
@@ -197,35 +211,49 @@
         tenure = self._tenure_by_address.get(announced.address)
         return tenure is not None and tenure.born_ms > announced.born_ms
 
-    def _take_address(self, announced: Announcement) -> None:
-        """Mark the endpoint that had the address before as gone."""
-        taken = _Tenure(
+    def _note_start(self, announced: Announcement) -> bool:
+        """Mark an endpoint that had the address before as gone.
+
+        Late announcements tell of that, too. Return whether there was one.
+        """
+        address = announced.address
+        if not address:
+            return False
+        tenure = self._tenure_by_address.get(address)
+        if tenure is not None and (
+            tenure.born_ms > announced.born_ms
+            or tenure.born_ms == announced.born_ms
+            and announced.endpoint_id in self.record_by_id
+        ):
+            if tenure.endpoint_id == announced.endpoint_id:
+                self._noted_at_by_address[address] = self._env.timer.now()
+            return False
+        self._noted_at_by_address[address] = self._env.timer.now()
+        self._tenure_by_address[address] = _Tenure(
             endpoint_id=announced.endpoint_id, born_ms=announced.born_ms
         )
+        if tenure is None or tenure.endpoint_id == announced.endpoint_id:
+            return False
+        former = self.record_by_id.get(tenure.endpoint_id)
+        # One that has started again is not gone.
+        if (
+            former is None
+            or former.gone
+            or former.announcement.address != address
+            or former.announcement.born_ms > tenure.born_ms
+        ):
+            return False
+        self._record_change(former, 'endpoint_superseded', gone=True)
+        return True
+
+    def _forget_start(self, announced: Announcement) -> None:
+        """Forget that an endpoint was at its address."""
         tenure = self._tenure_by_address.get(announced.address)
-        if tenure == taken:
-            return
-        if tenure is not None and tenure.endpoint_id != announced.endpoint_id:
-            former = self.record_by_id.get(tenure.endpoint_id)
-            # One that has started again elsewhere is not gone.
-            if (
-                former is not None
-                and former.announcement.address == announced.address
-                and not former.gone
-            ):
-                self._record_change(former, 'endpoint_superseded', gone=True)
-        self._tenure_by_address[announced.address] = taken
-        self._left_at_by_address.pop(announced.address, None)
-
-    def _leave_address(self, old: Announcement, *, restarted: bool) -> None:
-        """Record that an endpoint is no longer at its former address."""
-        tenure = self._tenure_by_address.get(old.address)
-        if tenure is None or tenure.endpoint_id != old.endpoint_id:
-            return
-        if restarted:
-            self._left_at_by_address[old.address] = self._env.timer.now()
-        else:
-            del self._tenure_by_address[old.address]
+        if tenure is not None and (
+            tenure.endpoint_id == announced.endpoint_id
+        ):
+            del self._tenure_by_address[announced.address]
+            del self._noted_at_by_address[announced.address]
 
     def _record_change(
         self, record: EndpointRecord, event: str, *, gone: bool = False
@@ -250,20 +278,42 @@
         )
         self._on_change()
 
-    def leave(self, endpoint_id: str) -> Heard | None:
+    def leave(self, endpoint_id: str, born_ms: int) -> Heard | None:
         """Mark an endpoint as gone because it says that it leaves.
 
-        Return its state to forward, None if the endpoint is unknown.
+        `born_ms` is the start that ends, 0 if the endpoint does not say it:
+        then the one that is known. A start of which nothing has been heard
+        here is stored as gone, as its announcements may be late, or known to
+        another control node.
+
+        Return its state to forward, None if it has started again since.
         """
         stored = self.record_by_id.get(endpoint_id)
-        if stored is None:
+        if stored is None and not born_ms:
             return None
-        self._mark_gone(stored, stored.announcement)
-        return Heard(
-            announcement=stored.announcement,
-            age_s=self._age_s(stored),
+        if stored is not None:
+            known_ms = stored.announcement.born_ms
+            if born_ms and born_ms < known_ms:
+                return None
+            if not born_ms or born_ms == known_ms:
+                self._mark_gone(stored, stored.announcement)
+                return self.describe(stored)
+        # Nothing is known of this start but its end, so it has no address.
+        ended = Heard(
+            announcement=Announcement(
+                endpoint_id=endpoint_id,
+                service='',
+                address='',
+                data_centre='',
+                born_ms=born_ms,
+                sequence=0,
+                slots=0,
+            ),
+            age_s=0.0,
             gone=True,
         )
+        self.apply(ended)
+        return ended
 
     def note_leaving(self, endpoint_id: str, born_ms: int) -> Heard | None:
         """Mark an incarnation as leaving, as it said so in an answer.
@@ -290,11 +340,13 @@
                 self._record_change(record, 'endpoint_lost')
             if silent_s > FORGET_GONE_AFTER_S and (record.gone or record.lost):
                 del self.record_by_id[endpoint_id]
-                self._leave_address(record.announcement, restarted=False)
-        for address, left_at in list(self._left_at_by_address.items()):
-            if now - left_at > FORGET_GONE_AFTER_S:
-                del self._left_at_by_address[address]
-                del self._tenure_by_address[address]
+                self._forget_start(record.announcement)
+        if now - self._forgot_at > FORGET_GONE_AFTER_S:
+            self._forgot_at = now
+            for address, noted_at in list(self._noted_at_by_address.items()):
+                if now - noted_at > FORGET_GONE_AFTER_S:
+                    del self._noted_at_by_address[address]
+                    del self._tenure_by_address[address]
 
     def _discount_pause(self, now: float) -> None:
         """Do not count a pause of this node as silence of the endpoints."""
--- a/packages/fleet/src/apricotthread/fleet/publisher.py
+++ b/packages/fleet/src/apricotthread/fleet/publisher.py
@@ -86,9 +86,12 @@
         if self._endpoints.apply(heard):
             self._enqueue(heard, is_change=self._endpoints.revision > revision)
 
-    def leave(self, endpoint_id: str) -> bool:
-        """Mark an endpoint as gone; return whether it was known."""
-        heard = self._endpoints.leave(endpoint_id)
+    def leave(self, endpoint_id: str, born_ms: int) -> bool:
+        """Mark an endpoint as gone; return False if it has started since.
+
+        `born_ms` is the start that ends in Unix ms, 0 if it is unknown.
+        """
+        heard = self._endpoints.leave(endpoint_id, born_ms)
         if heard is not None:
             self._enqueue(heard, is_change=True)
         return heard is not None
@@ -99,11 +102,6 @@
         if heard is not None:
             self._enqueue(heard, is_change=True)
 
-    def born_ms(self, endpoint_id: str) -> int | None:
-        """Return the start of an endpoint in Unix ms, None if unknown."""
-        record = self._endpoints.record_by_id.get(endpoint_id)
-        return record.announcement.born_ms if record is not None else None
-
     def _enqueue(self, heard: directory.Heard, *, is_change: bool) -> None:
         self._pending.append(heard)
         if is_change:
--- a/packages/gateway/src/apricotthread/gateway/application.py
+++ b/packages/gateway/src/apricotthread/gateway/application.py
@@ -12,6 +12,7 @@
 from apricotthread.base import logs
 from apricotthread.base import pauses
 from apricotthread.control import routetables
+from apricotthread.endpoints import answerreader
 from apricotthread.fleet import view
 from apricotthread.gateway import forwarder
 from apricotthread.gateway import requests
@@ -61,6 +62,13 @@
     async def start(self, status: int, headers: requests.Headers) -> None:
         """Send the head of the answer."""
         self.started = True
+        if status in answerreader.BODILESS_STATUSES:
+            # The server would take the length for that of a body to come.
+            headers = [
+                (name, value)
+                for name, value in headers
+                if name != b'content-length'
+            ]
         await self._send(
             {
                 'type': 'http.response.start',
--- a/packages/gateway/src/apricotthread/gateway/attempts.py
+++ b/packages/gateway/src/apricotthread/gateway/attempts.py
@@ -4,6 +4,7 @@
 
 from apricotthread.base import environment
 from apricotthread.control import routetables
+from apricotthread.endpoints import answerreader
 from apricotthread.endpoints import connections
 from apricotthread.fleet import view
 from apricotthread.gateway import budgets
@@ -32,7 +33,7 @@
     # The endpoint has answered that it did not run the request.
     is_refusal: bool = False
     # A whole answer, sealed by the endpoint, that may be passed on as it is.
-    answer: connections.Answer | None = None
+    answer: answerreader.Answer | None = None
     body: bytes = b''
     # The endpoint has ended or was cut off, so the attempt does not count.
     is_endpoint_lost: bool = False
@@ -154,7 +155,9 @@
             self._renew_retry(connection)
             self._use_permit(connection)
             endpoints.standings.note_sent(replica)
-            connection.start(request_bytes)
+            connection.start(
+                request_bytes, expects_body=request.caller.method != 'HEAD'
+            )
         except connections.ConnectionLost as error:
             self.note_begun()
             self._state.give_back_permit(endpoints.limits)
--- a/packages/gateway/src/apricotthread/gateway/forwarder.py
+++ b/packages/gateway/src/apricotthread/gateway/forwarder.py
@@ -8,6 +8,7 @@
 from apricotthread.base import environment
 from apricotthread.base import errors
 from apricotthread.control import routetables
+from apricotthread.endpoints import answerreader
 from apricotthread.endpoints import connections
 from apricotthread.fleet import shares
 from apricotthread.fleet import view
@@ -614,7 +615,7 @@
     async def _pass_on_long_answer(
         self,
         connection: connections.EndpointConnection,
-        answer: connections.Answer,
+        answer: answerreader.Answer,
         buffered: bytes,
         sink: Sink,
     ) -> None:
@@ -628,7 +629,7 @@
         await sink.end()
 
     async def _pass_on_answer(
-        self, answer: connections.Answer, body: bytes, sink: Sink
+        self, answer: answerreader.Answer, body: bytes, sink: Sink
     ) -> None:
         await sink.start(answer.status, self._dialect.answer_headers(answer))
         await sink.write(body)
@@ -638,7 +639,7 @@
         self,
         request: requests.RoutedRequest,
         attempt: stallwatch.Attempt,
-        answer: connections.Answer,
+        answer: answerreader.Answer,
     ) -> requests.AnswerMetadata:
         """Check that an answer belongs to the request and is signed.
 
@@ -707,7 +708,7 @@
     def _make_status_failure(
         self,
         replica: view.Replica,
-        answer: connections.Answer,
+        answer: answerreader.Answer,
         body: bytes,
         is_whole: bool,
     ) -> attempts.AttemptFailure:
@@ -861,7 +862,7 @@
     async def _pass_on_events(
         self,
         attempt: stallwatch.Attempt,
-        answer: connections.Answer,
+        answer: answerreader.Answer,
         sink: Sink,
         splitter: events.EventSplitter,
     ) -> None:
--- a/packages/gateway/src/apricotthread/gateway/requests.py
+++ b/packages/gateway/src/apricotthread/gateway/requests.py
@@ -4,7 +4,7 @@
 import typing
 
 from apricotthread.control import routetables
-from apricotthread.endpoints import connections
+from apricotthread.endpoints import answerreader
 from apricotthread.gateway import placement
 
 Headers = list[tuple[bytes, bytes]]
@@ -122,8 +122,8 @@
     ) -> bytes:
         """Return the bytes of a request to an endpoint, head and body."""
 
-    def parse_answer(self, answer: connections.Answer) -> AnswerMetadata:
+    def parse_answer(self, answer: answerreader.Answer) -> AnswerMetadata:
         """Parse the metadata in the head of an endpoint's answer."""
 
-    def answer_headers(self, answer: connections.Answer) -> Headers:
+    def answer_headers(self, answer: answerreader.Answer) -> Headers:
         """Return the headers of an answer to pass on to the caller."""
--- a/tests/retryworld.py
+++ b/tests/retryworld.py
@@ -20,6 +20,7 @@
 from apricotthread.control import folders
 from apricotthread.control import routetables
 from apricotthread.daemon import fleetnode
+from apricotthread.endpoints import answerreader
 from apricotthread.endpoints import connections
 from apricotthread.endpoints import directory
 from apricotthread.fakes import disks
@@ -83,7 +84,7 @@
         self._request_id = ''
         self._closed = asyncio.Event()
 
-    def start(self, request):
+    def start(self, request, *, expects_body=True):
         """Have a request arrive at the worker."""
         for line in request.split(b'\r\n'):
             if line.startswith(b'attempt-id: '):
@@ -98,7 +99,7 @@
         draw = world.random.random()
         refusal = world.refuse(self._address, self._node_id)
         if refusal is not None:
-            return connections.Answer(
+            return answerreader.Answer(
                 status=503,
                 headers=[
                     (b'attempt-id', self._request_id.encode()),
@@ -119,9 +120,9 @@
         ]
         if draw < world.failing:
             headers.append((b'not-executed', b'1'))
-            return connections.Answer(status=503, headers=headers)
+            return answerreader.Answer(status=503, headers=headers)
         headers.append((b'response-seal', b'1'))
-        return connections.Answer(status=200, headers=headers)
+        return answerreader.Answer(status=200, headers=headers)
 
     async def read(self):
         """Return the end of the body."""
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -52,7 +52,7 @@
 def test_a_restart_replaces_the_earlier_record(endpoint_directory):
     def body():
         endpoint_directory.apply(make_heard(sequence=50, leaving=True))
-        endpoint_directory.leave('i-1')
+        endpoint_directory.leave('i-1', 1000)
         assert endpoint_directory.apply(make_heard(born_ms=2000, sequence=1))
         record = endpoint_directory.record_by_id['i-1']
         assert not record.gone
@@ -83,7 +83,7 @@
 def test_an_endpoint_that_left_stays_gone(endpoint_directory):
     def body():
         endpoint_directory.apply(make_heard(sequence=1))
-        assert endpoint_directory.leave('i-1').gone
+        assert endpoint_directory.leave('i-1', 1000).gone
         assert not endpoint_directory.apply(make_heard(sequence=2))
         assert endpoint_directory.record_by_id['i-1'].gone
 
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -8,6 +8,7 @@
 
 from apricotthread.base import errors
 from apricotthread.control import routetables
+from apricotthread.endpoints import answerreader
 from apricotthread.endpoints import connections
 from apricotthread.fakes import fixedshares
 from apricotthread.fakes import virtualclock
@@ -69,7 +70,9 @@
         if address in self.dead:
             raise connections.ConnectionLost(reason='refused', sent=False)
         return types.SimpleNamespace(
-            start=lambda request: self.ran_at_addresses.append(address),
+            start=lambda request, **options: self.ran_at_addresses.append(
+                address
+            ),
             read_head=self._read_head,
             read=self._read,
         )
@@ -78,7 +81,7 @@
         """Ignore a connection that is given back."""
 
     async def _read_head(self):
-        return connections.Answer(status=500, headers=[])
+        return answerreader.Answer(status=500, headers=[])
 
     async def _read(self):
         return b''
@@ -256,7 +259,7 @@
         async def _read_head(self):
             if len(self.ran_at_addresses) <= 2:
                 raise connections.ConnectionLost(reason='closed', sent=True)
-            return connections.Answer(status=500, headers=[])
+            return answerreader.Answer(status=500, headers=[])
 
     async def main():
         addresses = [f'w-{number}' for number in range(7)]
@@ -312,7 +315,7 @@
         self._parts = list(parts)
 
     async def _read_head(self):
-        return connections.Answer(status=200, headers=[])
+        return answerreader.Answer(status=200, headers=[])
 
     async def _read(self):
         part = self._parts.pop(0)
--- a/tests/test_moving_endpoints.py
+++ b/tests/test_moving_endpoints.py
@@ -7,7 +7,6 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
-import msgspec
 
 from apricotthread.endpoints import directory
 from apricotthread.fleet import updates
@@ -41,6 +40,14 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Farewell:
+    """Says that an endpoint ends."""
+
+    endpoint_id: str
+    born_ms: int
+
+
 class MovingEndpoints(stateful.RuleBasedStateMachine):
     """Three control nodes and two entries, with messages out of order."""
 
@@ -57,7 +64,8 @@
         self.views = [view.FleetView(env=env) for _ in range(2)]
         self.sent_revision = collections.Counter()
         self.processes = []
-        # What is under way: (control node, message), in no order.
+        # What is under way, in no order: the control node, the message, and
+        # whether that node is to forward it.
         self.messages = []
 
     def _running(self):
@@ -89,7 +97,7 @@
     def announce(self, data, control):
         """Have an endpoint that runs send an announcement."""
         process = data.draw(strategies.sampled_from(self._running()))
-        self.messages.append((control, process.announce()))
+        self.messages.append((control, process.announce(), True))
 
     @stateful.precondition(lambda self: self._running())
     @stateful.rule(
@@ -100,23 +108,37 @@
         process = data.draw(strategies.sampled_from(self._running()))
         process.is_running = False
         process.has_left = True
-        gone = msgspec.structs.replace(process.announce(), gone=True)
-        self.messages.append((control, gone))
+        self.messages.append(
+            (
+                control,
+                Farewell(
+                    endpoint_id=process.endpoint_id, born_ms=process.born_ms
+                ),
+                True,
+            )
+        )
 
     @stateful.precondition(lambda self: self.messages)
     @stateful.rule(data=strategies.data(), is_kept=strategies.booleans())
     def deliver(self, data, is_kept):
         """Deliver any message, perhaps for the first of two times."""
         index = data.draw(strategies.integers(0, len(self.messages) - 1))
-        control, heard = self.messages[index]
+        message = self.messages[index]
         if not is_kept:
             del self.messages[index]
-        self._receive(control, heard)
+        self._receive(*message)
 
-    def _receive(self, control, heard):
-        if self.directory_by_id[control].apply(heard):
+    def _receive(self, control, message, is_first):
+        known = self.directory_by_id[control]
+        match message:
+            case Farewell(endpoint_id=endpoint_id, born_ms=born_ms):
+                heard = known.leave(endpoint_id, born_ms)
+                is_news = heard is not None
+            case heard:
+                is_news = known.apply(heard)
+        if is_news and is_first:
             self.messages.extend(
-                (other, heard) for other in CONTROLS if other != control
+                (other, heard, False) for other in CONTROLS if other != control
             )
 
     @stateful.rule(seconds=strategies.sampled_from((0.5, 5.0)))
@@ -153,7 +175,7 @@
     def check(self):
         """Deliver everything, and compare each node with what runs."""
         for process in self._running():
-            self.messages.append((CONTROLS[0], process.announce()))
+            self.messages.append((CONTROLS[0], process.announce(), True))
         while self.messages:
             self._receive(*self.messages.pop())
         running_by_id = {
@@ -208,6 +230,21 @@
 )
 
 
+def test_a_farewell_counts_before_anything_else_is_heard(env):
+    """Guards against a worker that has left, and whose heartbeat is late."""
+
+    def body():
+        known = directory.Directory(env=env, lost_after_s=3.0)
+        known.apply(test_directory.make_heard('i-2', born_ms=500))
+        for endpoint_id in ('i-1', 'i-2'):
+            assert known.leave(endpoint_id, 1000).gone
+            known.apply(test_directory.make_heard(endpoint_id, born_ms=1000))
+            assert known.record_by_id[endpoint_id].gone
+            assert known.leave(endpoint_id, 900) is None
+
+    test_directory.run(body)
+
+
 def test_an_endpoint_that_moved_is_not_ended_by_the_next_at_its_old_address(
     env,
 ):
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from apricotthread.endpoints import connections
+from apricotthread.endpoints import answerreader
 from apricotthread.fakes import virtualclock
 from apricotthread.fleet import limits as fleet_limits
 from apricotthread.gateway import limits
@@ -192,7 +192,7 @@
 @pytest.mark.parametrize('text', ODD_LIMITS)
 def test_an_odd_limit_is_counted_and_says_nothing(text):
     metadata = callers.PlatformDialect().parse_answer(
-        connections.Answer(status=200, headers=[(b'server-limit', text)])
+        answerreader.Answer(status=200, headers=[(b'server-limit', text)])
     )
     assert metadata.is_limit_odd
     assert metadata.limit_per_s is None
@@ -200,7 +200,7 @@
 
 def test_a_limit_that_is_named_twice_says_nothing():
     metadata = callers.PlatformDialect().parse_answer(
-        connections.Answer(
+        answerreader.Answer(
             status=200,
             headers=[(b'server-limit', b'2'), (b'server-limit', b'3')],
         )
@@ -214,7 +214,7 @@
 )
 def test_a_decimal_number_is_a_limit(text, limit_per_s):
     metadata = callers.PlatformDialect().parse_answer(
-        connections.Answer(status=503, headers=[(b'server-limit', text)])
+        answerreader.Answer(status=503, headers=[(b'server-limit', text)])
     )
     assert metadata.limit_per_s == limit_per_s
     assert not metadata.is_limit_odd
--- a/tests/test_numbers_from_outside.py
+++ b/tests/test_numbers_from_outside.py
@@ -15,6 +15,7 @@
 from apricotthread.base import decoding
 from apricotthread.base import errors
 from apricotthread.base import numbers
+from apricotthread.endpoints import answerreader
 from apricotthread.endpoints import connections
 from apricotthread.endpoints import directory
 from apricotthread.fakes import virtualclock
@@ -86,7 +87,7 @@
 def make_answer(**values):
     """Return an answer with these headers to the request `r-1`."""
     headers = [(b'attempt-id', b'r-1'), (b'response-seal', b's')]
-    return connections.Answer(
+    return answerreader.Answer(
         status=200,
         headers=headers
         + [
@@ -105,7 +106,7 @@
     async def acquire(self, address, *, must_be_fresh):
         """Return a connection."""
         return types.SimpleNamespace(
-            start=lambda request: None,
+            start=lambda request, **options: None,
             read_head=self._read_head,
             read=self._read,
         )
@@ -287,6 +288,6 @@
             % (value.encode('latin-1'), value.encode('latin-1'))
         )
         assert (await connection.read_head()).status == 200
-        assert 0 <= connection.idle_limit_s <= connections.MAX_IDLE_S
+        assert 0 <= connection.idle_limit_s <= answerreader.MAX_IDLE_S
 
     virtualclock.run(main())
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,7 +10,7 @@
 
 from apricotthread.base import errors
 from apricotthread.control import routetables
-from apricotthread.endpoints import connections
+from apricotthread.endpoints import answerreader
 from apricotthread.endpoints import directory
 from apricotthread.gateway import placement
 from apricotthread.gateway import requests
@@ -369,7 +369,7 @@
 def test_an_answer_gives_the_load_and_whether_the_request_ran():
     dialect = callers.PlatformDialect()
     metadata = dialect.parse_answer(
-        connections.Answer(
+        answerreader.Answer(
             status=503,
             headers=[
                 (b'not-executed', b'1'),
@@ -380,10 +380,10 @@
     assert metadata.not_run
     assert metadata.load == requests.EndpointLoad(running=3, waiting=1)
     assert not dialect.parse_answer(
-        connections.Answer(status=503, headers=[])
+        answerreader.Answer(status=503, headers=[])
     ).not_run
     assert dialect.parse_answer(
-        connections.Answer(status=421, headers=[])
+        answerreader.Answer(status=421, headers=[])
     ).not_run
 
 
--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -9,6 +9,7 @@
 
 from apricotthread.base import errors
 from apricotthread.control import routetables
+from apricotthread.endpoints import answerreader
 from apricotthread.endpoints import connections
 from apricotthread.endpoints import directory
 from apricotthread.fakes import fixedshares
@@ -142,7 +143,7 @@
         self._closed = asyncio.Event()
         self._is_whole = False
 
-    def start(self, request):
+    def start(self, request, *, expects_body=True):
         """Count a run."""
         self._endpoint.runs += 1
 
@@ -150,7 +151,7 @@
         """Return the head, which a call has only with its answer."""
         if not self._is_stream:
             await self._pause()
-        return connections.Answer(status=200, headers=[])
+        return answerreader.Answer(status=200, headers=[])
 
     async def read(self):
         """Return the next event, or the body of a call; then the end."""
@@ -883,7 +884,7 @@
             if address == 'vm-2-0':
 
                 async def refuse():
-                    return connections.Answer(status=503, headers=[])
+                    return answerreader.Answer(status=503, headers=[])
 
                 connection.read_head = refuse
             return connection
