Read JSON documents by one reader, in every writing

Cause: the service beside a split was dropped before the check, and msgspec checks only the texts that it returns. Ruled out: the agreement.

The class: documents in another writing. Whole numbers such as 7.0 were refused in configurations, heartbeats, farewells and requests; names that come twice passed; ports with leading zeros made another address.

Change: DocumentReader reads every JSON document from outside.

--- a/packages/callers/src/apricotthread/callers/bodies.py
+++ b/packages/callers/src/apricotthread/callers/bodies.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from apricotthread.base import decoding
+from apricotthread.base import documents
 from apricotthread.base import errors
 
 DEFAULT_MAX_TOKENS = 256
@@ -93,12 +94,14 @@
     request_id: str
 
 
+_CHAT_READER = documents.DocumentReader(document_type=ChatBody)
+_COMPLETION_READER = documents.DocumentReader(document_type=CompletionBody)
+
+
 def parse_body(body: bytes, *, chat: bool) -> CompletionBody | ChatBody:
     """Parse the body of a request; raises ApricotError BAD_REQUEST."""
     try:
-        return msgspec.json.decode(
-            body, type=ChatBody if chat else CompletionBody
-        )
+        return (_CHAT_READER if chat else _COMPLETION_READER).read(body)
     except decoding.DECODE_ERRORS as error:
         raise errors.ApricotError(
             code=errors.ErrorCode.BAD_REQUEST, message=f'body: {error}'
--- a/packages/endpoints/src/apricotthread/endpoints/application.py
+++ b/packages/endpoints/src/apricotthread/endpoints/application.py
@@ -10,6 +10,7 @@
 
 from apricotthread.base import bodies
 from apricotthread.base import decoding
+from apricotthread.base import documents
 from apricotthread.base import errors
 from apricotthread.endpoints import announcements
 from apricotthread.endpoints import registry
@@ -24,7 +25,7 @@
     make_reply: collections.abc.Callable[[], announcements.AnnouncementReply],
 ) -> applications.Starlette:
     """Return the application for POST /announcements."""
-    decoder = msgspec.json.Decoder(announcements.Announcement)
+    reader = documents.DocumentReader(document_type=announcements.Announcement)
 
     async def announce(request: requests.Request) -> responses.Response:
         try:
@@ -34,7 +35,7 @@
         except errors.ApricotError as error:
             return _make_refusal(error.message, error.code.http_status)
         try:
-            announcement = decoder.decode(body)
+            announcement = reader.read(body)
         except decoding.DECODE_ERRORS as error:
             return _make_refusal(str(error), 400)
         if not endpoints.announce(announcement).accepted:
--- a/packages/endpoints/src/apricotthread/endpoints/client.py
+++ b/packages/endpoints/src/apricotthread/endpoints/client.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from apricotthread.base import decoding
+from apricotthread.base import documents
 from apricotthread.base import environment
 from apricotthread.base import errors
 from apricotthread.base import units
@@ -82,8 +83,12 @@
         return self._body
 
 
-_PIECE_DECODER = msgspec.json.Decoder(announcements.GeneratedPiece)
-_ORDER_ANSWER_DECODER = msgspec.json.Decoder(announcements.OrderAnswer)
+_PIECE_READER = documents.DocumentReader(
+    document_type=announcements.GeneratedPiece
+)
+_ORDER_ANSWER_READER = documents.DocumentReader(
+    document_type=announcements.OrderAnswer
+)
 
 
 class EndpointClient:
@@ -137,7 +142,7 @@
                     line = await lines.read()
                 if not line:
                     break
-                piece = _PIECE_DECODER.decode(line)
+                piece = _PIECE_READER.read(line)
                 yield piece
                 if piece.finish:
                     return
@@ -230,7 +235,7 @@
                 request=request_bytes,
                 timeout_s=timeout_s,
             )
-            return _ORDER_ANSWER_DECODER.decode(body)
+            return _ORDER_ANSWER_READER.read(body)
         except (errors.ApricotError, *decoding.DECODE_ERRORS) as error:
             return announcements.OrderAnswer(
                 confirmed=False, fencing=0, reason=str(error)
--- a/packages/operators/src/apricotthread/operators/application.py
+++ b/packages/operators/src/apricotthread/operators/application.py
@@ -8,6 +8,7 @@
 
 from apricotthread.base import bodies as base_bodies
 from apricotthread.base import decoding
+from apricotthread.base import documents
 from apricotthread.base import environment
 from apricotthread.base import errors
 from apricotthread.base import logs
@@ -268,7 +269,9 @@
     """
     raw = await base_bodies.read_limited(request.stream(), MAX_BODY_BYTES)
     try:
-        return msgspec.json.decode(raw, type=body_type)
+        return documents.DocumentReader(
+            document_type=body_type, unique_names=True
+        ).read(raw)
     except decoding.DECODE_ERRORS as error:
         raise errors.ApricotError(
             code=errors.ErrorCode.BAD_REQUEST, message=f'body: {error}'
