Take no trailer and no white space for a part of an answer's headers

What callers saw: nothing measured; found by drawing writings. An answer whose `Attempt-Id` had white space after it counted as that of another request, and failed. Trailers of an answer were passed on as headers of it.

Cause: the parser keeps white space after a value (RFC 9110, 5.5, has it as no part), and reports trailers as it reports headers.

Change: AnswerReader drops both.

The play of sound answers failed before with either.

--- a/packages/endpoints/src/apricotthread/endpoints/answerreader.py
+++ b/packages/endpoints/src/apricotthread/endpoints/answerreader.py
@@ -43,6 +43,11 @@
                 return value.decode('latin-1')
         return ''
 
+    def get_list(self, name: bytes) -> str:
+        """Return all values of a header that is a list (RFC 9110, 5.3)."""
+        values = [value for header, value in self.headers if header == name]
+        return b','.join(values).decode('latin-1')
+
 
 class AnswerReader:
     """Reads one answer from the bytes of a connection.
@@ -120,9 +125,10 @@
         self._headers = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
-        if not self._is_over:
-            self._headers.append((name.lower(), value))
+        """Store a header; trailers are none (RFC 9110, 6.5)."""
+        if self.answer is None and not self.failure:
+            # The parser leaves the white space after a value.
+            self._headers.append((name.lower(), value.rstrip(b' \t')))
 
     def on_headers_complete(self) -> None:
         """Store the head, how the answer ends and the idle timeout."""
@@ -161,7 +167,7 @@
         return [coding for coding in codings if coding]
 
     def _read_idle_limit(self) -> None:
-        for part in self.answer.get(b'keep-alive').split(','):
+        for part in self.answer.get_list(b'keep-alive').split(','):
             key, _, value = part.strip().partition('=')
             if key == 'timeout':
                 limit_s = numbers.parse_clamped(value, maximum=MAX_IDLE_S)
--- a/tests/test_answers_that_are_none.py
+++ b/tests/test_answers_that_are_none.py
@@ -169,6 +169,10 @@
     feed(reader, data, positions)
     assert reader.failure == ''
     assert reader.answer.status == status
+    for name, value in reader.answer.headers:
+        # Guards against trailers and white space that count as headers.
+        assert name != b'x-sum'
+        assert value == value.strip()
     assert reader.ends_with_connection == ends_with_connection
     reader.end()
     assert reader.is_complete
