--- a/packages/control/src/apricotthread/control/routetables.py
+++ b/packages/control/src/apricotthread/control/routetables.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from apricotthread.base import hosts
+from apricotthread.base import uris
 
 
 class Repeat(enum.Enum):
@@ -45,6 +45,14 @@
     # For how long a caller waits for the next event of a stream.
     patience_s: float = 2.0
 
+    @property
+    def key(self) -> tuple[str, str]:
+        """The host and the prefix, the same in every writing of theirs."""
+        return (
+            uris.normalize_host(self.host),
+            uris.normalize_path(self.prefix),
+        )
+
 
 class ModelProfile(msgspec.Struct, frozen=True, kw_only=True):
     """A model of a service: one group of VMs is one replica of it."""
@@ -125,7 +133,7 @@
     """Return the faults of a table, in one sentence each."""
     faults = []
     services = {service.name for service in table.services}
-    host_prefix_pairs = set()
+    keys = set()
     for route in table.routes:
         for share in route.shares:
             if share.service not in services:
@@ -139,12 +147,11 @@
             faults.append(f'the weights of route {route.name!r} add up to 0')
         if route.timeout_s <= 0:
             faults.append(f'route {route.name!r} has no timeout')
-        key = (hosts.normalize_host(route.host), route.prefix)
-        if key in host_prefix_pairs:
+        if route.key in keys:
             faults.append(
                 f'route {route.name!r} has the host and prefix of another'
             )
-        host_prefix_pairs.add(key)
+        keys.add(route.key)
     name_by_key: dict[str, str] = {}
     for account in table.accounts:
         for key in account.keys:
--- a/packages/gateway/src/apricotthread/gateway/routes.py
+++ b/packages/gateway/src/apricotthread/gateway/routes.py
@@ -3,7 +3,6 @@
 import hashlib
 
 from apricotthread.base import environment
-from apricotthread.base import hosts
 from apricotthread.control import routetables
 
 
@@ -13,8 +12,7 @@
     def __init__(self, *, table: routetables.RouteTable) -> None:
         self.table = table
         self._route_by_host_and_prefix = {
-            (hosts.normalize_host(route.host), route.prefix): route
-            for route in table.routes
+            route.key: route for route in table.routes
         }
         self._account_by_digest = {
             _digest(key): account
@@ -26,8 +24,8 @@
     def find_route(self, host: str, path: str) -> routetables.Route | None:
         """Return the route with the longest prefix of the path, or None.
 
-        Only prefixes that end with a slash are found. The host is a
-        normalized one.
+        Only prefixes that end with a slash are found. Host and path are
+        normalized ones.
         """
         end = len(path)
         while (end := path.rfind('/', 0, end)) >= 0:
--- a/tests/test_hosts.py
+++ b/tests/test_uris.py
@@ -5,7 +5,7 @@
 import pytest
 
 from apricotthread.base import errors
-from apricotthread.base import hosts
+from apricotthread.base import uris
 from apricotthread.gateway import routes
 from apricotthread.platform import callers
 from apricotthread.platform import configs
@@ -56,5 +56,5 @@
 
 
 def test_the_port_of_a_literal_address_is_no_part_of_the_host():
-    assert hosts.normalize_host('[2001:DB8::1]:80') == '[2001:db8::1]'
-    assert hosts.normalize_host('[::1]') == '[::1]'
+    assert uris.normalize_host('[2001:DB8::1]:80') == '[2001:db8::1]'
+    assert uris.normalize_host('[::1]') == '[::1]'
