Read a request that offers an upgrade with its body

Cause: the parser stops at a head that offers an upgrade and takes the rest for the other protocol; uvicorn goes on to read requests there. Ruled out: the forwarder, which sent what it was given.

Change: the listener ignores the offer (RFC 9110, 7.8) and reads the head once more without it. The class, by drawn requests: an empty query is kept, trailers are no headers, a target in absolute form names the host; unknown transfer codings get 501, several hosts and fragments 400. A caller that leaves ends the request that runs, also if it has sent another one since.

--- a/packages/daemon/src/apricotthread/daemon/listeners.py
+++ b/packages/daemon/src/apricotthread/daemon/listeners.py
@@ -5,13 +5,17 @@
 import contextlib
 import enum
 import functools
+import re
 import socket
+import typing
 
+import httptools
 import uvicorn
 from uvicorn.protocols.http import httptools_impl
 
 from apricotthread.base import logs
 from apricotthread.base import units
+from apricotthread.base import uris
 from apricotthread.control import routetables
 
 BACKLOG = 1024
@@ -27,6 +31,8 @@
 MIN_BODY_BYTES = 1 * units.KIB
 # A timer that fires later than this shows that the node was paused.
 MAX_LATE_S = 0.25
+# What a target in absolute form has before its path.
+_ABSOLUTE = re.compile(rb'https?://(?P<authority>[^/?]+)', re.IGNORECASE)
 
 
 class _Phase(enum.Enum):
@@ -75,13 +81,21 @@
         self._body_bytes = 0
         self._unread_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
+        self._running: httptools_impl.RequestResponseCycle | None = None
         self._expect(_Phase.ANSWERING, self._limits.idle_timeout_s)
         if self.config.is_stopping:
             self.shutdown()
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Stop the timer of a request that was arriving."""
+        """Stop the timer of a request that was arriving.
+
+        The application learns of it though the peer has sent another request
+        since: the server tells only the last one.
+        """
         self._cancel_timer()
+        if self._running is not None and not self._running.response_complete:
+            self._running.disconnected = True
+            self._running.message_event.set()
         super().connection_lost(error)
 
     def data_received(self, data: bytes) -> None:
@@ -91,7 +105,7 @@
             # Also for empty lines, which the parser does not report.
             self._expect(_Phase.HEAD, self._limits.header_timeout_s)
         self._bytes_without_body += len(data)
-        super().data_received(data)
+        self._read(data)
         if self.transport.is_closing():
             return
         max_head_bytes = self._limits.max_header_bytes + MAX_REQUEST_LINE_BYTES
@@ -102,6 +116,47 @@
             self._log_cut('a body after its answer')
             self.transport.close()
 
+    def _read(self, data: bytes) -> None:
+        """Parse bytes; read on where a head offers another protocol."""
+        self._unset_keepalive_if_required()
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            if not self.transport.is_closing():
+                self.send_400_response('Invalid HTTP request received.')
+        except httptools.HttpParserUpgrade as stop:
+            self._decline_upgrade(data[stop.args[0] :])
+
+    def _decline_upgrade(self, rest: bytes) -> None:
+        """Read a request that offers another protocol as one that does not.
+
+        The parser takes what follows its head for the other protocol, which
+        a server may ignore (RFC 9110, 7.8): its body is still to come.
+        """
+        head = [
+            b'%b %b HTTP/%b'
+            % (
+                self.parser.get_method(),
+                self.url,
+                self.parser.get_http_version().encode(),
+            )
+        ]
+        head.extend(
+            name + b': ' + value
+            for name, value in self.headers
+            if name != b'upgrade'
+        )
+        self.parser = httptools.HttpRequestParser(self)
+        self.parser.set_dangerous_leniencies(lenient_data_after_close=True)
+        self._read(b'\r\n'.join(head) + b'\r\n\r\n')
+        if rest and not self.transport.is_closing():
+            self._read(rest)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Store a header; trailers are none (RFC 9110, 6.5)."""
+        if self._phase is not _Phase.BODY:
+            super().on_header(name, value)
+
     def on_message_begin(self) -> None:
         """Expect the rest of a head soon."""
         super().on_message_begin()
@@ -110,13 +165,67 @@
             self._expect(_Phase.HEAD, self._limits.header_timeout_s)
 
     def on_headers_complete(self) -> None:
-        """Expect a body."""
+        """Expect a body.
+
+        The application gets the target of the request as it was sent.
+        """
+        is_connect = self.parser.get_method() == b'CONNECT'
+        if self.parser.should_upgrade() and not is_connect:
+            return  # the head is read once more
+        self._check_head()
+        target = self._read_target()
         super().on_headers_complete()
+        self.scope[uris.REQUEST_TARGET] = target
         self._bytes_without_body = 0
         self._body_bytes = 0
         self._unread_bytes = 0
         self._expect(_Phase.BODY, BODY_PERIOD_S)
 
+    def _check_head(self) -> None:
+        """Refuse a head that may be read in several ways (RFC 9112)."""
+        names = [name for name, _ in self.headers]
+        if names.count(b'host') > 1:
+            self._refuse(400, 'The head has several hosts.')
+        if b'#' in self.url:
+            self._refuse(400, 'The target has a fragment.')
+        if b'transfer-encoding' in names:
+            codings = [
+                coding.strip(b' \t').lower()
+                for name, value in self.headers
+                if name == b'transfer-encoding'
+                for coding in value.split(b',')
+            ]
+            if [coding for coding in codings if coding] != [b'chunked']:
+                self._refuse(501, 'The transfer coding is unknown.')
+
+    def _refuse(self, status: int, message: str) -> typing.NoReturn:
+        """Answer a head with an error, and have the parser give up."""
+        self._log_cut(message)
+        body = message.encode()
+        self.transport.write(
+            httptools_impl.STATUS_LINE[status]
+            + b'content-type: text/plain\r\nconnection: close\r\n'
+            b'content-length: %d\r\n\r\n%b' % (len(body), body)
+        )
+        self.transport.close()
+        raise ValueError(message)
+
+    def _read_target(self) -> bytes:
+        """Return the path and query as they were sent.
+
+        The host of a target in absolute form goes before the header
+        (RFC 9112, 3.2.2).
+        """
+        absolute = _ABSOLUTE.match(self.url)
+        if absolute is None:
+            return self.url
+        self.headers[:] = [
+            (name, absolute['authority'] if name == b'host' else value)
+            for name, value in self.headers
+        ]
+        target = self.url[absolute.end() :]
+        return target if target.startswith(b'/') else b'/' + target
+
     def on_body(self, body: bytes) -> None:
         """Count a part of a body, and whether an application reads it."""
         super().on_body(body)
@@ -127,6 +236,8 @@
 
     def on_message_complete(self) -> None:
         """Expect nothing until the answer is sent."""
+        if self.parser.should_upgrade():
+            return
         super().on_message_complete()
         self._phase = _Phase.ANSWERING
         self._cancel_timer()
@@ -177,6 +288,7 @@
 
     def _start_asgi_task(self, cycle, app) -> None:
         """Start an answer, which may be the last one of a drain."""
+        self._running = cycle
         if self.config.is_draining:
             app = functools.partial(self._announce_close, cycle, app)
         super()._start_asgi_task(cycle, app)
--- a/packages/gateway/src/apricotthread/gateway/application.py
+++ b/packages/gateway/src/apricotthread/gateway/application.py
@@ -11,6 +11,7 @@
 from apricotthread.base import errors
 from apricotthread.base import logs
 from apricotthread.base import pauses
+from apricotthread.base import uris
 from apricotthread.control import routetables
 from apricotthread.endpoints import answerreader
 from apricotthread.fleet import view
@@ -361,7 +362,13 @@
 
 
 def _request_target(scope) -> bytes:
-    """Return the path and query as the caller sent them."""
+    """Return the path and query as the caller sent them.
+
+    A scope alone does not tell an empty query from none.
+    """
+    target = scope.get(uris.REQUEST_TARGET)
+    if target is not None:
+        return target
     target = scope['raw_path']
     if scope['query_string']:
         target += b'?' + scope['query_string']
