--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,8 @@
 	callers operators daemon cli fakes
 EDITABLE = $(foreach package,$(PACKAGES),-e packages/$(package)) -e platform
 # Tests of real processes and disks, which need the machine for themselves.
-REAL = tests/test_bad_engines.py tests/test_bad_services.py \
+REAL = tests/test_answers_that_are_none_on_real_nodes.py \
+	tests/test_bad_engines.py tests/test_bad_services.py \
 	tests/test_bytes_without_end.py \
 	tests/test_crashing_prompts.py \
 	tests/test_childprocesses.py tests/test_cut_heads.py \
