Draw the writing of workers and callers in the soak

Workers write each event and each head in a writing that is drawn anew (ends of lines, order of fields, comments, case and white space of headers, interim answers); callers draw the host, the query and chunks or a length. A worker that garbles draws what it sends in place of an answer, or before a sound one: statuses 000, 099 and 999, an interim answer with a body, a switch of protocols. Streams are checked by the reader that was written from the standard.

--- a/soak/backends.py
+++ b/soak/backends.py
@@ -9,6 +9,7 @@
 from soak import proxies
 from soak import record
 from soak import schedule
+from soak import writings
 from tests import platformstandin
 
 HEARTBEAT_S = 1.2  # the period of announcements on the platform
@@ -19,6 +20,7 @@
 DRIP_PERIOD_S = 0.1
 CRASH_DELAY_S = 0.05  # after an answer that crashes a worker has begun
 CRASH_S = 1.5
+SOUND_AFTER_ODD_SHARE = 0.5
 # Answers that have no end: what comes first, and what comes from then on.
 ENDLESS_ANSWERS = (
     ('', 'X-Filler: more\r\n' * 100),
@@ -145,6 +147,7 @@
         self._highest_fence = 0
         self._find_process_name = None
         self._generator = random.Random(self.name)
+        self._writing = random.Random(f'writing of {self.name}')
         worker_monitor.worker_by_name[self.name] = self
 
     async def start_behind_proxy(self, find_process_name) -> None:
@@ -309,7 +312,11 @@
                 writer.transport.abort()
                 return
             case schedule.Kind.WORKER_GARBLES:
-                writer.write(b'\x00garbled\r\n\r\n')
+                writer.write(self._writing.choice(writings.ODD_ANSWERS))
+                if self._writing.random() < SOUND_AFTER_ODD_SHARE:
+                    await super()._run(headers, writer)
+                    return
+                await writer.drain()
                 writer.transport.abort()
                 return
             case schedule.Kind.WORKER_TWICE:
@@ -320,8 +327,18 @@
                 await self._drip(headers, writer)
             case schedule.Kind.WORKER_ENDLESS:
                 await self._send_without_end(headers, writer)
+        if self._writing.random() < writings.INTERIM_SHARE:
+            writer.write(writings.INTERIM_ANSWER)
         await super()._run(headers, writer)
 
+    def write_event(self, number):
+        """Return an event in a drawn writing."""
+        return writings.write_event(self._writing, number)
+
+    def write_header(self, name, value):
+        """Return a header line in a drawn writing."""
+        return writings.write_header(self._writing, name, value)
+
     async def _drip(self, headers, writer):
         """Begin an answer, then send a comment now and then."""
         writer.write(
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,12 +1,16 @@
 """Callers with kept-alive connections, and a balancer over the entries."""
 
 import asyncio
+import collections.abc
 import contextlib
 import random
 
 import aiohttp
+import yarl
 
 from soak import record
+from soak import writings
+from tests import eventstreamjudge
 from tests import platformstandin
 
 POLL_PERIOD_S = 0.5
@@ -20,6 +24,7 @@
 GUILTY_PERIOD_S = 0.25
 TOPICS = 8
 REQUEST_PAUSE_S = 0.05
+REQUEST_BODY = b'x' * 100
 PATH_BY_KIND = {
     record.CallKind.STREAM: '/lots/1',
     record.CallKind.BID: '/bids/1',
@@ -93,6 +98,7 @@
     ) -> None:
         self._name = name
         self._random = random.Random(seed)
+        self._writing = random.Random(f'writing of {seed}')
         self._observations = observations
         self._balancer = balancer
         self._url_by_entry = url_by_entry
@@ -160,14 +166,22 @@
             model='m0' if kind is record.CallKind.STREAM else '',
             parts=(FIRST_PART, f'topic{self._random.randrange(TOPICS)}'),
         )
+        headers['Host'] = self._writing.choice(writings.HOSTS)
+        # What is given in pieces is sent in chunks, without a length.
+        data = self._writing.choice((REQUEST_BODY, _give(REQUEST_BODY)))
+        target = PATH_BY_KIND[kind] + self._writing.choice(
+            writings.TARGET_ENDS
+        )
         status = 0
         try:
             async with (
                 asyncio.timeout(record.TIME_BUDGET_S_BY_KIND[kind] + 0.5),
                 session.post(
-                    self._url_by_entry[self._entry] + PATH_BY_KIND[kind],
+                    yarl.URL(
+                        self._url_by_entry[self._entry] + target, encoded=True
+                    ),
                     headers=headers,
-                    data=b'x' * 100,
+                    data=data,
                 ) as answer,
             ):
                 status = answer.status
@@ -194,17 +208,25 @@
         if not platformstandin.is_sealed_for(answer.headers, attempt_id):
             violation = 'sealed for another request'
         elif kind is record.CallKind.STREAM:
-            expected = ''.join(
-                f'id: {number}\ndata: piece {number}\n\n'
+            expected = [
+                eventstreamjudge.Event(
+                    event_id=str(number), data=f'piece {number}'
+                )
                 for number in range(1, self._events_per_stream + 1)
-            )
-            if body != expected.encode():
+            ]
+            if eventstreamjudge.read(body) != expected:
                 violation = f'not the events of the stream: {body[:200]!r}'
         elif body.split()[1:] != [attempt_id.encode()]:
             violation = f'not the answer of a worker: {body[:200]!r}'
         return record.Outcome.WHOLE, status, violation
 
 
+async def _give(body: bytes) -> collections.abc.AsyncIterator[bytes]:
+    """Yield a body in two pieces."""
+    yield body[:1]
+    yield body[1:]
+
+
 async def send_guilty_prompts(
     *,
     seed: int,
--- a/tests/platformstandin.py
+++ b/tests/platformstandin.py
@@ -383,9 +383,17 @@
             if number == self.silent_before:
                 await asyncio.sleep(self.silent_s)
             await self._outlast_pause()
-            await self._send_part(writer, make_event(number))
+            await self._send_part(writer, self.write_event(number))
             await asyncio.sleep(self.gap_s)
 
+    def write_event(self, number):
+        """Return an event of a stream, in the writing of this worker."""
+        return make_event(number)
+
+    def write_header(self, name, value):
+        """Return a header line, in the writing of this worker."""
+        return f'{name}: {value}\r\n'
+
     async def _send_part(self, writer, part):
         """Send a part of a stream; raise once its reader has left."""
         writer.write(f'{len(part):x}\r\n{part}\r\n'.encode())
@@ -400,7 +408,8 @@
     def make_head(self, headers):
         """Return the beginning of the head of a sound answer, as bytes."""
         lines = ''.join(
-            f'{key}: {value}\r\n' for key, value in self._seal(headers).items()
+            self.write_header(name, value)
+            for name, value in self._seal(headers).items()
         )
         return f'HTTP/1.1 200 OK\r\n{lines}'.encode()
 
@@ -439,7 +448,7 @@
         writer.close()
 
     def _write(self, writer, status, headers, body=''):
-        lines = ''.join(f'{k}: {v}\r\n' for k, v in headers.items())
+        lines = ''.join(self.write_header(k, v) for k, v in headers.items())
         writer.write(
             (
                 f'HTTP/1.1 {status} X\r\n{lines}'
