Describe the readers of formats, and take away their mechanisms

Two tests were added for that: the drawn plays take minutes to shrink, and one check stood behind another.

--- a/bench/proofs.py
+++ b/bench/proofs.py
@@ -169,6 +169,70 @@
         test='tests/test_forwarder.py::test_a_late_copy_of_another_answer_'
         'says_nothing_about_this_request',
     ),
+    Removal(
+        mechanism='a status outside 200 to 599 is no answer',
+        module='endpoints/answerreader.py',
+        code='if status not in FINAL_STATUSES:',
+        instead='if False:',
+        test='tests/test_answers_that_are_none.py::test_bytes_that_are_no_'
+        'answer_fail_at_once',
+    ),
+    Removal(
+        mechanism='only chunks are a transfer coding',
+        module='endpoints/answerreader.py',
+        code='if TRANSFER_ENCODING in names and',
+        instead='if False and',
+        test='tests/test_answers_that_are_none.py::test_bytes_that_are_no_'
+        'answer_fail_at_once',
+    ),
+    Removal(
+        mechanism='lines of a stream may end in a CR',
+        module='gateway/events.py',
+        code="    if b'\\r' in data:\n",
+        instead='    if False:\n',
+        test='tests/test_event_streams.py::test_a_resumed_stream_has_each_'
+        'event_once_in_any_writing',
+    ),
+    Removal(
+        mechanism='an event whose data has no id is not resumed after',
+        module='gateway/forwarder.py',
+        code='if not splitter.can_resume:',
+        instead='if False:',
+        test='tests/test_errors_after_broken_streams.py::test_a_stream_that_'
+        'breaks_after_data_without_an_id_is_cut',
+    ),
+    Removal(
+        mechanism='a head that offers an upgrade is read once more',
+        module='daemon/listeners.py',
+        code='if self.parser.should_upgrade() and not is_connect:',
+        instead='if False:',
+        test='tests/test_requests_in_any_writing.py::test_the_body_after_an_'
+        'offer_of_an_upgrade_is_no_request',
+    ),
+    Removal(
+        mechanism='hosts are compared without regard to case',
+        module='base/uris.py',
+        code="host.lower().removesuffix('.')",
+        instead="host.removesuffix('.')",
+        test='tests/test_uris.py::test_a_route_is_found_however_its_host_is_'
+        'written',
+    ),
+    Removal(
+        mechanism='a document is UTF-8 throughout',
+        module='base/documents.py',
+        code="        document.decode('utf-8')\n",
+        instead='',
+        test='tests/test_documents.py::test_a_heartbeat_that_is_no_utf_8_is_'
+        'refused',
+    ),
+    Removal(
+        mechanism='an endpoint that has started elsewhere is not superseded',
+        module='endpoints/directory.py',
+        code='            or former.announcement.address != address\n'
+        '            or former.announcement.born_ms > tenure.born_ms\n',
+        instead='',
+        test='tests/test_moving_endpoints.py',
+    ),
     Removal(
         mechanism='bytes after an answer close its connection',
         module='endpoints/connections.py',
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -119,6 +119,14 @@
     assert refused.value.code is errors.ErrorCode.TABLE
 
 
+@pytest.mark.parametrize('place', [b'"x": "\xc3"', b'"\xe9": 1'])
+def test_a_heartbeat_that_is_no_utf_8_is_refused(place):
+    """Guards against bytes that no reader checks, as nobody reads them."""
+    document = json.dumps(test_platform.HEARTBEAT).encode()
+    with pytest.raises(errors.ApricotError):
+        instances.read_heartbeat('i-1', document[:-1] + b', ' + place + b'}')
+
+
 def test_a_known_service_beside_a_split_is_allowed():
     table = configs.read_config(set_service('bids'))
     assert table.routes[0].shares == EXPECTED_CONFIG.routes[0].shares
--- a/tests/test_requests_in_any_writing.py
+++ b/tests/test_requests_in_any_writing.py
@@ -168,6 +168,18 @@
     ]
 
 
+@pytest.mark.parametrize('pause_at', [0, 1])
+def test_the_body_after_an_offer_of_an_upgrade_is_no_request(pause_at):
+    """Guards against a request that is smuggled inside another one."""
+    body = b'POST /inner HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n'
+    lines = [b'Host: a', *UPGRADE, b'X: 1', b'Content-Length: %d' % len(body)]
+    head = b'POST /outer HTTP/1.1\r\n' + b'\r\n'.join(lines) + b'\r\n\r\n'
+    application = RecordingApplication()
+    parts = [head + body[:pause_at], body[pause_at:]]
+    asyncio.run(exchange(application, parts, 1))
+    assert application.seen == [('POST', b'/outer', body, 'a', b'1', False)]
+
+
 UNSOUND = {
     'an unknown transfer coding': (
         501,
