Answer no request with the error of the bytes behind it

Where bytes that are no request, a head that is refused, or one without end came while a request before them was answered, their 400 was written at once. The caller of that request took it for its answer, while the request ran.

Cause: uvicorn's send_400_response writes at any time; our own refusals did so, too. Ruled out: pipelined sound requests, which are answered in order.

Change: the connection closes after the answers to the requests before, and what follows is dropped.

--- a/packages/daemon/src/apricotthread/daemon/listeners.py
+++ b/packages/daemon/src/apricotthread/daemon/listeners.py
@@ -7,7 +7,6 @@
 import functools
 import re
 import socket
-import typing
 
 import httptools
 import uvicorn
@@ -43,6 +42,14 @@
     BODY = 'body'
 
 
+class _BadHead(Exception):
+    """The head of a request is none, or may be read in several ways."""
+
+    def __init__(self, status: int, message: str) -> None:
+        super().__init__(message)
+        self.status = status
+
+
 class _Config(uvicorn.Config):
     """The configuration of a listener, with limits that may change."""
 
@@ -81,6 +88,7 @@
         self._body_bytes = 0
         self._unread_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
+        self._is_refused = False
         self._running: httptools_impl.RequestResponseCycle | None = None
         self._expect(_Phase.ANSWERING, self._limits.idle_timeout_s)
         if self.config.is_stopping:
@@ -101,6 +109,8 @@
     def data_received(self, data: bytes) -> None:
         """Remember when data arrived; refuse bytes that are no request."""
         self._arrived_at = self.loop.time()
+        if self._is_refused:
+            return
         if self._phase is _Phase.ANSWERING and self._is_idle():
             # Also for empty lines, which the parser does not report.
             self._expect(_Phase.HEAD, self._limits.header_timeout_s)
@@ -110,8 +120,7 @@
             return
         max_head_bytes = self._limits.max_header_bytes + MAX_REQUEST_LINE_BYTES
         if self._bytes_without_body > max_head_bytes:
-            self._log_cut('a head without end')
-            self.send_400_response('The head of the request is too large.')
+            self._refuse(400, 'The head of the request is too large.')
         elif self._unread_bytes > MAX_UNREAD_BYTES:
             self._log_cut('a body after its answer')
             self.transport.close()
@@ -121,9 +130,12 @@
         self._unset_keepalive_if_required()
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError:
-            if not self.transport.is_closing():
-                self.send_400_response('Invalid HTTP request received.')
+        except httptools.HttpParserError as error:
+            match error.__context__:
+                case _BadHead(status=status) as fault:
+                    self._refuse(status, str(fault))
+                case _:
+                    self._refuse(400, 'Invalid HTTP request received.')
         except httptools.HttpParserUpgrade as stop:
             self._decline_upgrade(data[stop.args[0] :])
 
@@ -185,9 +197,9 @@
         """Refuse a head that may be read in several ways (RFC 9112)."""
         names = [name for name, _ in self.headers]
         if names.count(b'host') > 1:
-            self._refuse(400, 'The head has several hosts.')
+            raise _BadHead(400, 'The head has several hosts.')
         if b'#' in self.url:
-            self._refuse(400, 'The target has a fragment.')
+            raise _BadHead(400, 'The target has a fragment.')
         if b'transfer-encoding' in names:
             codings = [
                 coding.strip(b' \t').lower()
@@ -196,11 +208,19 @@
                 for coding in value.split(b',')
             ]
             if [coding for coding in codings if coding] != [b'chunked']:
-                self._refuse(501, 'The transfer coding is unknown.')
+                raise _BadHead(501, 'The transfer coding is unknown.')
 
-    def _refuse(self, status: int, message: str) -> typing.NoReturn:
-        """Answer a head with an error, and have the parser give up."""
+    def _refuse(self, status: int, message: str) -> None:
+        """Answer with an error, and close the connection.
+
+        While requests before it are answered, the error would be taken for
+        the answer to one of them, so the connection only closes after them.
+        """
         self._log_cut(message)
+        self._is_refused = True
+        if not self._is_idle():
+            self.cycle.keep_alive = False
+            return
         body = message.encode()
         self.transport.write(
             httptools_impl.STATUS_LINE[status]
@@ -208,7 +228,6 @@
             b'content-length: %d\r\n\r\n%b' % (len(body), body)
         )
         self.transport.close()
-        raise ValueError(message)
 
     def _read_target(self) -> bytes:
         """Return the path and query as they were sent.
--- a/tests/test_requests_in_any_writing.py
+++ b/tests/test_requests_in_any_writing.py
@@ -215,6 +215,30 @@
     assert application.seen == []
 
 
+@pytest.mark.parametrize(
+    'odd',
+    [
+        b'no request\r\n\r\n',
+        b'POST /a HTTP/1.1\r\n' + UNSOUND['two hosts'][1],
+        b'POST /a HTTP/1.1\r\nX: ' + b'x' * 50000,
+    ],
+)
+def test_an_error_is_no_answer_to_the_request_before(odd):
+    """Guards against 400 for a request that is sound and runs."""
+
+    async def answer_late(scope, receive, send):
+        await asyncio.sleep(0.1)
+        await application(scope, receive, send)
+
+    application = RecordingApplication()
+    sound = b'POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n'
+    for parts in ([sound * 2 + odd], [sound * 2, odd, odd]):
+        received = asyncio.run(exchange(answer_late, parts, 9))
+        assert received.count(b'HTTP/1.1 ') == 2
+        assert received.count(ANSWER_HEAD) == 2
+    assert len(application.seen) == 4
+
+
 @pytest.mark.parametrize(
     'start', [b'CONNECT a:80 HTTP/1.1', b'GET /a#b HTTP/1.1']
 )
