--- a/bench/wirecost.py
+++ b/bench/wirecost.py
@@ -21,6 +21,7 @@
 from apricotthread.gateway import application
 from apricotthread.platform import callers
 from bench import rig
+from tests import platformstandin
 from tests import test_forwarder
 
 ROUNDS = 7
@@ -28,14 +29,16 @@
 EVENTS = 400
 EVENT_PAUSE_S = 0.0005  # so that events are read one by one
 EVENT = b'id: %d\ndata: ' + b'x' * 120 + b'\n\n'
-ANSWER_HEAD = (
-    b'HTTP/1.1 200 OK\r\nAttempt-Id: r-1\r\nResponse-Seal: s\r\n'
-    b'Instance-Load: 1,0,8\r\nKeep-Alive: timeout=5\r\n'
-)
-REQUEST = (
-    b'POST /%b/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: r-1\r\n'
-    b'Deadline-Ms: 8000\r\nX-Api-Key: k1\r\nContent-Length: 2\r\n\r\nhi'
-)
+ATTEMPT_ID = 'r-1'
+ANSWER_HEAD = platformstandin.make_answer_head(ATTEMPT_ID)
+
+
+def write_request(path: str) -> bytes:
+    """Return a caller's request on a route, as bytes."""
+    headers = platformstandin.make_caller_headers(ATTEMPT_ID, budget_s=8.0)
+    lines = ''.join(f'{name}: {value}\r\n' for name, value in headers.items())
+    head = f'POST /{path}/1 HTTP/1.1\r\n{lines}Content-Length: 2\r\n\r\n'
+    return head.encode() + b'hi'
 
 
 async def serve(
@@ -75,7 +78,7 @@
         )
         end = b'\r\n\r\nok' if order['path'] == 'calls' else b'0\r\n\r\n'
         for _ in range(order['count']):
-            writer.write(REQUEST % order['path'].encode())
+            writer.write(write_request(order['path']))
             received = b''
             while not received.endswith(end):
                 part = await reader.read(65536)
--- a/tests/platformstandin.py
+++ b/tests/platformstandin.py
@@ -457,6 +457,12 @@
         )
 
 
+def make_answer_head(attempt_id):
+    """Return the beginning of the head of a worker's answer, as bytes."""
+    worker = Worker(name='worker', service='bids', controls=())
+    return worker.make_head({'attempt-id': attempt_id})
+
+
 class Deployment:
     """Nodes that run as processes, with workers in this process.
 
