--- a/tests/test_answers_that_are_none.py
+++ b/tests/test_answers_that_are_none.py
@@ -260,6 +260,14 @@
 
 NO_ANSWERS = {
     'status 000': write_head(b'000', [b'Attempt-Id: r-1']),
+    'status 000 with a body': write_head(
+        b'000', [b'Attempt-Id: r-1', b'Content-Length: 2']
+    )
+    + b'no',
+    'status 000 with chunks': write_head(
+        b'000', [b'Attempt-Id: r-1', b'Transfer-Encoding: chunked']
+    )
+    + b'2\r\nno\r\n0\r\n\r\n',
     'status 099': write_head(b'099', [b'Attempt-Id: r-1']),
     'status 600': write_head(600, [b'Attempt-Id: r-1', b'Content-Length: 0']),
     'status 999': write_head(999, [b'Attempt-Id: r-1', b'Content-Length: 0']),
