Have the soak refuse bytes in a stream that no worker writes

Now each line has to be one that workers write, and the stream has to end whole. By hand: a drawn stream passes; with a line of an error, a wrong last line or an event too many it does not.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -214,7 +214,9 @@
                 )
                 for number in range(1, self._events_per_stream + 1)
             ]
-            if eventstreamjudge.read(body) != expected:
+            if eventstreamjudge.read(
+                body
+            ) != expected or not writings.is_written(body, len(expected)):
                 violation = f'not the events of the stream: {body[:200]!r}'
         elif body.split()[1:] != [attempt_id.encode()]:
             violation = f'not the answer of a worker: {body[:200]!r}'
--- a/soak/writings.py
+++ b/soak/writings.py
@@ -35,6 +35,16 @@
     return line_end.join(lines) + 2 * line_end
 
 
+def is_written(body: bytes, events: int) -> bool:
+    """Whether a stream has only lines that workers write, and ends whole."""
+    written = {'', *COMMENTS}
+    for number in range(1, events + 1):
+        written |= {f'id: {number}', f'data: piece {number}'}
+    # Only these ends of lines: str.splitlines knows others, too.
+    text = body.decode('latin-1').replace('\r\n', '\n').replace('\r', '\n')
+    return text.endswith('\n\n') and written.issuperset(text.split('\n'))
+
+
 def write_header(generator: random.Random, name: str, value: str) -> str:
     """Return a header line in a drawn writing."""
     name = generator.choice((name, name.lower(), name.upper()))
