--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,8 @@
 	tests/test_signals.py tests/test_soak_run.py \
 	tests/test_standings_on_real_nodes.py \
 	tests/test_storage.py tests/test_system.py
+# Tests that measure memory, one at a time.
+ALONE = tests/test_clients_that_misbehave.py
 # Known failures: the tests that KNOWN-RED.txt names do not gate.
 KNOWN_RED = $(shell sed -n 's/^  test: *\(tests\/[^ ]*\)$$/--deselect=\1/p' KNOWN-RED.txt)
 SOURCES = packages platform tests bench demo soak
@@ -54,8 +56,10 @@
 	$(BIN)/python -m demo --keep-running
 
 test: install
-	$(BIN)/python -m pytest -q -n 5 $(KNOWN_RED) $(REAL:%=--ignore=%)
+	$(BIN)/python -m pytest -q -n 5 $(KNOWN_RED) \
+		$(REAL:%=--ignore=%) $(ALONE:%=--ignore=%)
 	$(BIN)/python -m pytest -q -n 3 --dist loadgroup $(KNOWN_RED) $(REAL)
+	$(BIN)/python -m pytest -q $(KNOWN_RED) $(ALONE)
 
 soak: install
 	$(BIN)/python -m soak --seeds $(SEED)
