Refuse a body at once that is announced over the limit

Callers that announce a body of 1 GiB were read up to the limit before they got 413, and while they sent no more, the entry held what had come for as long as 1 KiB arrived in 30 s.

Cause: the entry looked at the size of what had arrived only.

Evidence: 120 clients announce 1 GiB and send 4 MiB.

Ruled out: the body after its answer; it is counted and cut at 1 MiB.

Change: the announced length is compared before the body is read. Parts of a body are gathered in one buffer, not in a list with an object for each.

--- a/packages/gateway/src/apricotthread/gateway/application.py
+++ b/packages/gateway/src/apricotthread/gateway/application.py
@@ -159,7 +159,11 @@
                 env=self._env, request_id=caller.request_id
             )
             index = self._require_route_index()
-            body = await self._read_body(receive, index.table.limits)
+            body = await self._read_body(
+                receive,
+                scope['headers'],
+                index.table.limits.max_body_bytes,
+            )
             request = self._fit_into_stop(
                 self._route_request(index, caller, body, received_at)
             )
@@ -213,30 +217,23 @@
         return self._route_index
 
     async def _read_body(
-        self, receive, limits: routetables.CallerLimits
+        self, receive, headers: requests.Headers, max_body_bytes: int
     ) -> bytes:
         """Return the whole body of a request.
 
-        Raises CallerDisconnected, and ApricotError if the body is too
-        large.
+        Raises CallerDisconnected, and ApricotError if the body is, or says
+        that it will be, too large.
         """
-        parts = []
-        size = 0
+        _check_body_size(_read_content_length(headers), max_body_bytes)
+        body = bytearray()
         while True:
             message = await receive()
             if message['type'] == 'http.disconnect':
                 raise CallerDisconnected
-            part = message.get('body', b'')
-            size += len(part)
-            if size > limits.max_body_bytes:
-                raise errors.ApricotError(
-                    code=errors.ErrorCode.BODY_TOO_LARGE,
-                    message=f'the body is over {limits.max_body_bytes} bytes',
-                )
-            if part:
-                parts.append(part)
+            body += message.get('body', b'')
+            _check_body_size(len(body), max_body_bytes)
             if not message.get('more_body', False):
-                return b''.join(parts)
+                return bytes(body)
 
     def _route_request(
         self,
@@ -361,6 +358,23 @@
         await sink.end()
 
 
+def _read_content_length(headers: requests.Headers) -> int:
+    """Return the length of the body that a head announces, 0 for none."""
+    for name, value in headers:
+        if name == b'content-length':
+            return int(value)  # the server takes digits only
+    return 0
+
+
+def _check_body_size(size: int, max_body_bytes: int) -> None:
+    """Raise ApricotError if a body of this size is too large."""
+    if size > max_body_bytes:
+        raise errors.ApricotError(
+            code=errors.ErrorCode.BODY_TOO_LARGE,
+            message=f'the body is over {max_body_bytes} bytes',
+        )
+
+
 def _request_target(scope) -> bytes:
     """Return the path and query as the caller sent them.
 
--- a/tests/test_clients_that_misbehave.py
+++ b/tests/test_clients_that_misbehave.py
@@ -21,8 +21,25 @@
 # What the users' machines have for a process (their sheets, in MB).
 MACHINE_BYTES = 300_000_000
 ORDINARY_TIMEOUT_S = 60.0
+MAX_BODY_BYTES = 4 * units.MIB  # as the stand-in's configuration says
+KEY = 'X-Api-Key: k1'
 CHUNKED = 'Transfer-Encoding: chunked'
 
+CROWDS = {
+    'bodies announced far over the limit': clientcrowds.Crowd(
+        clients=120,
+        make_parts=lambda: [
+            clientcrowds.make_request(
+                '/reads/1',
+                KEY,
+                f'Content-Length: {1024 * units.MIB}',
+                method='POST',
+            ),
+            *clientcrowds.repeat(b'x' * 65536, MAX_BODY_BYTES),
+        ],
+    ),
+}
+
 
 def read_peak_bytes(process):
     """Return the most memory that a process has held."""
@@ -126,6 +143,12 @@
     assert peak_bytes <= MACHINE_BYTES
 
 
+@pytest.mark.parametrize('name', CROWDS)
+def test_a_crowd_does_not_fill_the_memory_of_an_entry(play, name):
+    """Guards against entries that hold all that their clients send."""
+    play(CROWDS[name], check_memory)
+
+
 def test_a_body_without_end_does_not_fill_the_memory_of_a_control_node(play):
     """Guards against bodies of configurations that are read as a whole."""
     crowd = clientcrowds.Crowd(
