Read the requests that a client sends ahead one by one

Callers: clients that sent requests ahead and read no answers filled the memory of an entry, and no other caller was answered meanwhile.

Cause: uvicorn parses all that a read has brought, and keeps for each request a scope, an event and a cycle. It pauses reading then, but resumes with each answer and each body that an application reads, so thousands of requests came for each one that was answered.

Evidence: 24 clients send 1 MiB of requests each.

Ruled out: the answers. A connection waits once 2 KiB of them are unread.

Change: bytes go to the parser up to the end of a head or of a body in chunks, which an empty line always is, or by the length of the body. The rest waits until the answer is complete: 16 KiB at most, and what one read brings; after that reading is held, whatever the server resumes. The receive buffers of the kernel have 32 KiB.

An error behind a request that is being answered closes the connection after it, as before.

--- a/packages/daemon/src/apricotthread/daemon/listeners.py
+++ b/packages/daemon/src/apricotthread/daemon/listeners.py
@@ -10,6 +10,7 @@
 
 import httptools
 import uvicorn
+from uvicorn.protocols.http import flow_control
 from uvicorn.protocols.http import httptools_impl
 
 from apricotthread.base import logs
@@ -28,6 +29,15 @@
 # While a body arrives, at least so much has to arrive in each period.
 BODY_PERIOD_S = 30.0
 MIN_BODY_BYTES = 1 * units.KIB
+# The kernel's receive buffer of a connection, so that clients that are not
+# read wait themselves.
+RECEIVE_BUFFER_BYTES = 32 * units.KIB
+# What may arrive behind a request that is not answered yet.
+READ_AHEAD_BYTES = 16 * units.KIB
+# What is parsed at a time, and how often in a turn of the event loop.
+MAX_PIECE_BYTES = 16 * units.KIB
+MAX_PIECES_PER_TURN = 16
+END_OF_MESSAGE = b'\r\n\r\n'  # of a head, and of a body in chunks
 # A timer that fires later than this shows that the node was paused.
 MAX_LATE_S = 0.25
 # What a target in absolute form has before its path.
@@ -66,8 +76,39 @@
         self.is_stopping = False
 
 
+class _FlowControl(flow_control.FlowControl):
+    """Flow control that does not read while the server holds bytes back.
+
+    The server resumes reading for each request that it begins to read or has
+    answered.
+    """
+
+    def __init__(self, transport) -> None:
+        super().__init__(transport)
+        self._is_held = False
+
+    def hold_reading(self) -> None:
+        """Read nothing until it is released."""
+        self._is_held = True
+        self.pause_reading()
+
+    def release_reading(self) -> None:
+        """Read on."""
+        self._is_held = False
+        self.resume_reading()
+
+    def resume_reading(self) -> None:
+        """Read on unless reading is held."""
+        if not self._is_held:
+            super().resume_reading()
+
+
 class BoundedProtocol(httptools_impl.HttpToolsProtocol):
-    """An HTTP connection that buffers little data for a slow reader.
+    """An HTTP connection that holds little for its client.
+
+    It buffers little of an answer. A request is parsed once the one before
+    it is answered; what has arrived of it waits unparsed, and beyond
+    READ_AHEAD_BYTES in the kernel.
 
     It is closed when its peer sends bytes without end that are no request,
     or a request so slowly that it would never be complete.
@@ -81,7 +122,12 @@
     def connection_made(self, transport) -> None:
         """Limit how much the transport buffers before writes have to wait."""
         super().connection_made(transport)
+        self.flow = _FlowControl(transport)
         transport.set_write_buffer_limits(high=self.write_buffer_bytes)
+        self._unparsed = bytearray()
+        self._is_parsing_due = False
+        self._is_sent_ahead = False
+        self._body_left = 0
         self._limits = self.config.limits()
         self._arrived_at = self.loop.time()
         self._bytes_without_body = 0
@@ -105,18 +151,78 @@
             self._running.disconnected = True
             self._running.message_event.set()
         super().connection_lost(error)
+        self._unparsed.clear()
 
     def data_received(self, data: bytes) -> None:
-        """Remember when data arrived; refuse bytes that are no request."""
+        """Remember when data arrived; parse it or hold it back."""
         self._arrived_at = self.loop.time()
         if self._is_refused:
             return
+        if self._unparsed or self._has_open_request():
+            self._unparsed += data
+        else:
+            if self._phase is _Phase.ANSWERING:
+                self._is_sent_ahead = False
+            self._parse(data)
+        if len(self._unparsed) > READ_AHEAD_BYTES:
+            self.flow.hold_reading()
+
+    def _has_open_request(self) -> bool:
+        """Whether a request has arrived as a whole and is not answered."""
+        is_whole = self._phase is _Phase.ANSWERING and not self._is_idle()
+        return is_whole or bool(self.pipeline)
+
+    def _parse(self, data: bytes) -> None:
+        """Parse up to the end of a request; hold the rest back."""
+        start = 0
+        for _ in range(MAX_PIECES_PER_TURN):
+            end = self._find_piece_end(data, start)
+            self._parse_piece(data[start:end])
+            start = end
+            if self._is_refused or self.transport.is_closing():
+                return
+            if start == len(data):
+                return
+            if self._has_open_request():
+                break
+        self._unparsed += data[start:]
+        self._schedule_parsing()
+
+    def _schedule_parsing(self) -> None:
+        """Go on with the bytes held back, after the turns of others."""
+        if self._unparsed and not self._is_parsing_due:
+            self._is_parsing_due = True
+            self.loop.call_soon(self._parse_held)
+
+    def _parse_held(self) -> None:
+        """Parse bytes that were held back."""
+        self._is_parsing_due = False
+        if self._has_open_request() or self.transport.is_closing():
+            return
+        self._is_sent_ahead = True
+        data = bytes(self._unparsed)
+        self._unparsed.clear()
+        if data and not self._is_refused:
+            self._parse(data)
+        if len(self._unparsed) <= READ_AHEAD_BYTES:
+            self.flow.release_reading()
+
+    def _find_piece_end(self, data: bytes, start: int) -> int:
+        """Return where to stop parsing, not behind the end of a request."""
+        if self._phase is _Phase.BODY and self._body_left > 0:
+            return min(len(data), start + self._body_left)
+        most = min(len(data), start + MAX_PIECE_BYTES)
+        found = data.find(END_OF_MESSAGE, start, most)
+        return most if found < 0 else found + len(END_OF_MESSAGE)
+
+    def _parse_piece(self, data: bytes) -> None:
+        """Parse bytes; refuse those that are no request."""
         if self._phase is _Phase.ANSWERING and self._is_idle():
             # Also for empty lines, which the parser does not report.
             self._expect(_Phase.HEAD, self._limits.header_timeout_s)
         self._bytes_without_body += len(data)
         self._read(data)
-        if self.transport.is_closing():
+        if self._is_refused or self.transport.is_closing():
             return
         max_head_bytes = self._limits.max_header_bytes + MAX_REQUEST_LINE_BYTES
         if self._bytes_without_body > max_head_bytes:
@@ -131,6 +237,8 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
+            if self._is_refused:
+                return
             match error.__context__:
                 case _BadHead(status=status) as fault:
                     self._refuse(status, str(fault))
@@ -171,6 +279,8 @@
 
     def on_message_begin(self) -> None:
         """Expect the rest of a head soon."""
+        if self._is_refused:
+            raise _BadHead(400, 'The connection closes.')
         super().on_message_begin()
         self._limits = self.config.limits()
         if self._phase is not _Phase.HEAD:
@@ -188,11 +298,19 @@
         target = self._read_target()
         super().on_headers_complete()
         self.scope[uris.REQUEST_TARGET] = target
+        self._body_left = self._read_content_length()
         self._bytes_without_body = 0
         self._body_bytes = 0
         self._unread_bytes = 0
         self._expect(_Phase.BODY, BODY_PERIOD_S)
 
+    def _read_content_length(self) -> int:
+        """Return the length that the head announces, 0 for none."""
+        for name, value in self.headers:
+            if name == b'content-length':
+                return int(value)  # the parser takes digits only
+        return 0
+
     def _check_head(self) -> None:
         """Refuse a head that may be read in several ways (RFC 9112)."""
         names = [name for name, _ in self.headers]
@@ -213,21 +331,27 @@
     def _refuse(self, status: int, message: str) -> None:
         """Answer with an error, and close the connection.
 
-        While requests before it are answered, the error would be taken for
-        the answer to one of them, so the connection only closes after them.
+        Behind a request that is being answered, or was when these bytes
+        came, the error might be taken for its answer, so the connection only
+        closes.
         """
         self._log_cut(message)
         self._is_refused = True
         if not self._is_idle():
             self.cycle.keep_alive = False
             return
+        if not self._is_sent_ahead:
+            self._write_refusal(status, message)
+        self.transport.close()
+
+    def _write_refusal(self, status: int, message: str) -> None:
+        """Send an answer that this connection gives by itself."""
         body = message.encode()
         self.transport.write(
             httptools_impl.STATUS_LINE[status]
             + b'content-type: text/plain\r\nconnection: close\r\n'
             b'content-length: %d\r\n\r\n%b' % (len(body), body)
         )
-        self.transport.close()
 
     def _read_target(self) -> bytes:
         """Return the path and query as they were sent.
@@ -250,6 +374,7 @@
         super().on_body(body)
         self._bytes_without_body = 0
         self._body_bytes += len(body)
+        self._body_left -= len(body)
         if self._is_idle():
             self._unread_bytes += len(body)
 
@@ -317,7 +442,7 @@
 
         async def send_message(message) -> None:
             starts = message['type'] == 'http.response.start'
-            if starts and not self.pipeline:
+            if starts and not self._has_next_request():
                 cycle.keep_alive = False
             await send(message)
 
@@ -325,15 +450,22 @@
 
     def on_response_complete(self) -> None:
         """Close the connection after the last answer of a stop."""
-        is_last = self.config.is_stopping and not self.pipeline
+        is_last = self.config.is_stopping and not self._has_next_request()
         self.timeout_keep_alive = self._limits.idle_timeout_s
         super().on_response_complete()
         if is_last and not self.transport.is_closing():
             self.transport.close()
+        self._schedule_parsing()
+
+    def _has_next_request(self) -> bool:
+        """Whether a request waits behind the one that is being answered."""
+        return bool(self.pipeline) or END_OF_MESSAGE in self._unparsed
 
     def shutdown(self) -> None:
         """Close the connection when no request is open or arriving."""
         remaining_s = self._arrived_at + RECENT_S - self.loop.time()
+        if self._unparsed:
+            remaining_s = RECENT_S
         if (
             self._is_idle()
             and remaining_s > 0
@@ -341,7 +473,8 @@
         ):
             self.loop.call_later(remaining_s, self.shutdown)
             return
-        super().shutdown()
+        if self._is_idle() or not self._has_next_request():
+            super().shutdown()
 
 
 class Listener(uvicorn.Server):
@@ -405,6 +538,9 @@
     listening_socket.setsockopt(
         socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer_bytes
     )
+    listening_socket.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+    )
     listening_socket.bind((host, port))
     listening_socket.listen(BACKLOG)
     listening_socket.setblocking(False)
--- a/tests/test_clients_that_misbehave.py
+++ b/tests/test_clients_that_misbehave.py
@@ -15,6 +15,7 @@
 import pytest
 
 from apricotthread.base import units
+from apricotthread.fakes import localsystem
 from tests import clientcrowds
 from tests import platformstandin
 
@@ -24,8 +25,34 @@
 MAX_BODY_BYTES = 4 * units.MIB  # as the stand-in's configuration says
 KEY = 'X-Api-Key: k1'
 CHUNKED = 'Transfer-Encoding: chunked'
+NO_ROUTE = clientcrowds.make_request('/nowhere')
+# Fills what both sockets of a connection hold of unread answers.
+MANY_BYTES = 1 * units.MIB
 
 CROWDS = {
+    'requests sent ahead at a path without a route': clientcrowds.Crowd(
+        clients=24,
+        make_parts=lambda: clientcrowds.repeat(NO_ROUTE * 100, MANY_BYTES),
+    ),
+    'requests sent ahead without a key': clientcrowds.Crowd(
+        clients=24,
+        make_parts=lambda: clientcrowds.repeat(
+            clientcrowds.make_request('/reads/1') * 100, MANY_BYTES
+        ),
+    ),
+    'requests with bodies sent ahead': clientcrowds.Crowd(
+        clients=24,
+        make_parts=lambda: clientcrowds.repeat(
+            (
+                clientcrowds.make_request(
+                    '/nowhere', 'Content-Length: 1', method='POST'
+                )
+                + b'x'
+            )
+            * 100,
+            MANY_BYTES,
+        ),
+    ),
     'bodies announced far over the limit': clientcrowds.Crowd(
         clients=120,
         make_parts=lambda: [
@@ -162,3 +189,41 @@
         ),
     )
     play(crowd, check_memory, at_controls=True)
+
+
+@pytest.mark.parametrize(
+    ('port', 'name'),
+    [
+        ('caller_port', 'requests sent ahead at a path without a route'),
+        ('endpoint_port', 'requests sent ahead at a path without a route'),
+        ('operator_port', 'requests sent ahead at a path without a route'),
+    ],
+)
+def test_a_crowd_does_not_fill_the_memory_of_a_fixed_node(
+    children, tmp_path, port, name
+):
+    """Guards against listeners other than that of a fleet's callers."""
+    (plan,) = localsystem.plan_nodes(['north'], 1)
+    system = localsystem.LocalSystem(
+        children=children, folder=tmp_path, nodes=[plan]
+    )
+    clients = clientcrowds.OpenClients()
+
+    async def main():
+        await system.start()
+        try:
+            async with aiohttp.ClientSession() as session:
+                await system.wait_for_leader(session)
+            await clients.send(
+                localsystem.HOST, getattr(plan, port), CROWDS[name]
+            )
+            async with aiohttp.ClientSession() as session:
+                async with asyncio.timeout(ORDINARY_TIMEOUT_S):
+                    await system.wait_for_leader(session)
+            process = system.process_by_id[plan.node_id]
+            assert process.returncode is None
+            check_memory(process)
+        finally:
+            await clients.close()
+
+    asyncio.run(main())
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 import socket
 import time
 
@@ -299,6 +300,48 @@
     run_while_stopping(client, answer_after_body)
 
 
+def test_requests_sent_ahead_are_read_one_by_one(run_while_stopping):
+    """Guards against objects for all requests that a read brings."""
+    seen = []
+    go_on = asyncio.Event()
+
+    async def answer_in_turn(scope, receive, send):
+        seen.append(scope['path'])
+        await go_on.wait()
+        await answer_slowly(scope, receive, send)
+
+    async def client(host, port, stop):
+        requests = [
+            b'GET /%d HTTP/1.1\r\nHost: a\r\n\r\n' % number
+            for number in range(5)
+        ]
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(b''.join(requests))
+        await asyncio.sleep(0.1)
+        (protocol,) = find_protocols()
+        assert seen == ['/0']
+        assert not protocol.pipeline
+        go_on.set()
+        for _ in requests:
+            assert b' 200 ' in await reader.readuntil(b'body')
+        assert seen == [f'/{number}' for number in range(5)]
+        writer.close()
+        await stop()
+
+    run_while_stopping(client, answer_in_turn)
+
+
+def find_protocols():
+    """Return the open connections of all listeners of this process."""
+    return [
+        each
+        for each in gc.get_objects()
+        if isinstance(each, listeners.BoundedProtocol)
+        and each.transport is not None
+        and not each.transport.is_closing()
+    ]
+
+
 class BusyCaller:
     """Sends requests with blocking sockets while the event loop is busy."""
 
