Disconnect clients that take nothing of their answers

Callers that did not read their answer kept its connection, its bytes and its descriptor for as long as they liked; so did those whose body stopped after an early answer.

Cause: no timer ran. Closing a transport waits for its buffer to be read. The idle timer of uvicorn starts with the end of an answer and ends with the next bytes, and none started at the end of a body that came later.

Ruled out: slow readers.

Change: while writes wait, or once the connection closes, nothing is added to the buffer; if it has not become smaller in 60 s, it is dropped.

--- a/packages/daemon/src/apricotthread/daemon/listeners.py
+++ b/packages/daemon/src/apricotthread/daemon/listeners.py
@@ -38,6 +38,8 @@
 MAX_PIECE_BYTES = 16 * units.KIB
 MAX_PIECES_PER_TURN = 16
 END_OF_MESSAGE = b'\r\n\r\n'  # of a head, and of a body in chunks
+# A client that takes nothing of its answer for so long is disconnected.
+UNREAD_PERIOD_S = 60.0
 # A timer that fires later than this shows that the node was paused.
 MAX_LATE_S = 0.25
 # What a target in absolute form has before its path.
@@ -111,7 +113,8 @@
     READ_AHEAD_BYTES in the kernel.
 
     It is closed when its peer sends bytes without end that are no request,
-    or a request so slowly that it would never be complete.
+    or a request so slowly that it would never be complete, or when it does
+    not read its answer.
 
     When the node stops, it is closed only once nothing has arrived on it for
     RECENT_S, or after one more answer.
@@ -127,6 +130,7 @@
         self._unparsed = bytearray()
         self._is_parsing_due = False
         self._is_sent_ahead = False
+        self._unread_timer: asyncio.TimerHandle | None = None
         self._body_left = 0
         self._limits = self.config.limits()
         self._arrived_at = self.loop.time()
@@ -147,6 +151,7 @@
         since: the server tells only the last one.
         """
         self._cancel_timer()
+        self._cancel_unread_timer()
         if self._running is not None and not self._running.response_complete:
             self._running.disconnected = True
             self._running.message_event.set()
@@ -229,7 +234,7 @@
             self._refuse(400, 'The head of the request is too large.')
         elif self._unread_bytes > MAX_UNREAD_BYTES:
             self._log_cut('a body after its answer')
-            self.transport.close()
+            self._close()
 
     def _read(self, data: bytes) -> None:
         """Parse bytes; read on where a head offers another protocol."""
@@ -342,7 +347,7 @@
             return
         if not self._is_sent_ahead:
             self._write_refusal(status, message)
-        self.transport.close()
+        self._close()
 
     def _write_refusal(self, status: int, message: str) -> None:
         """Send an answer that this connection gives by itself."""
@@ -353,6 +358,48 @@
             b'content-length: %d\r\n\r\n%b' % (len(body), body)
         )
 
+    def _close(self) -> None:
+        """Close the connection, also if its client reads nothing more."""
+        self.transport.close()
+        self._watch_unread()
+
+    def pause_writing(self) -> None:
+        """Wait for the client to read its answer."""
+        super().pause_writing()
+        self._watch_unread()
+
+    def resume_writing(self) -> None:
+        """Go on with an answer, most of which the client has taken."""
+        super().resume_writing()
+        self._cancel_unread_timer()
+        self._watch_unread()
+
+    def _watch_unread(self) -> None:
+        """Disconnect a client that takes nothing of its answer.
+
+        Only while nothing can be added to it: writes wait, or are over.
+        """
+        if not (self.flow.write_paused or self.transport.is_closing()):
+            return
+        unread_bytes = self.transport.get_write_buffer_size()
+        if unread_bytes and self._unread_timer is None:
+            self._unread_timer = self.loop.call_later(
+                UNREAD_PERIOD_S, self._check_unread, unread_bytes
+            )
+
+    def _check_unread(self, unread_bytes_before: int) -> None:
+        self._unread_timer = None
+        if self.transport.get_write_buffer_size() < unread_bytes_before:
+            self._watch_unread()
+        else:
+            self._log_cut('an unread answer')
+            self.transport.abort()
+
+    def _cancel_unread_timer(self) -> None:
+        if self._unread_timer is not None:
+            self._unread_timer.cancel()
+            self._unread_timer = None
+
     def _read_target(self) -> bytes:
         """Return the path and query as they were sent.
 
@@ -383,6 +430,9 @@
         if self.parser.should_upgrade():
             return
         super().on_message_complete()
+        if self._is_idle():
+            self._expect(_Phase.ANSWERING, self._limits.idle_timeout_s)
+            return
         self._phase = _Phase.ANSWERING
         self._cancel_timer()
 
@@ -424,7 +474,7 @@
         else:
             if self._phase is not _Phase.ANSWERING:
                 self._log_cut(f'a slow {self._phase.value}')
-            self.transport.close()
+            self._close()
 
     def _log_cut(self, reason: str) -> None:
         """Log why a connection is closed while a request arrives."""
@@ -455,12 +505,18 @@
         super().on_response_complete()
         if is_last and not self.transport.is_closing():
             self.transport.close()
+        self._watch_unread()
         self._schedule_parsing()
 
     def _has_next_request(self) -> bool:
         """Whether a request waits behind the one that is being answered."""
         return bool(self.pipeline) or END_OF_MESSAGE in self._unparsed
 
+    def timeout_keep_alive_handler(self) -> None:
+        """Close an idle connection, also if its client reads nothing."""
+        super().timeout_keep_alive_handler()
+        self._watch_unread()
+
     def shutdown(self) -> None:
         """Close the connection when no request is open or arriving."""
         remaining_s = self._arrived_at + RECENT_S - self.loop.time()
@@ -475,6 +531,7 @@
             return
         if self._is_idle() or not self._has_next_request():
             super().shutdown()
+        self._watch_unread()
 
 
 class Listener(uvicorn.Server):
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -300,6 +300,96 @@
     run_while_stopping(client, answer_after_body)
 
 
+def make_body_answer(size):
+    """Return an ASGI application that answers with a body of a size."""
+
+    async def answer(scope, receive, send):
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': 200,
+                'headers': [(b'content-length', b'%d' % size)],
+            }
+        )
+        await send({'type': 'http.response.body', 'body': b'x' * size})
+
+    return answer
+
+
+async def connect_unread(host, port):
+    """Return a non-blocking socket from which nothing is read."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, (host, port))
+    return sock
+
+
+@pytest.mark.parametrize('more', [b'', b'Connection: close\r\n'])
+@pytest.mark.parametrize('size', [300_000, 3_000_000])
+def test_a_client_that_reads_nothing_is_disconnected(
+    run_while_stopping, monkeypatch, size, more
+):
+    """Guards against connections that last as long as their client likes."""
+    monkeypatch.setattr(listeners, 'UNREAD_PERIOD_S', 0.3)
+
+    async def client(host, port, stop):
+        sock = await connect_unread(host, port)
+        request = b'GET / HTTP/1.1\r\nHost: a\r\n' + more + b'\r\n'
+        await asyncio.get_running_loop().sock_sendall(sock, request)
+        await asyncio.sleep(0.1)
+        async with asyncio.timeout(2.0):
+            while find_protocols():
+                await asyncio.sleep(0.05)
+        sock.close()
+        await stop()
+
+    run_while_stopping(client, make_body_answer(size))
+
+
+def test_a_client_that_reads_slowly_gets_its_whole_answer(
+    run_while_stopping, monkeypatch
+):
+    monkeypatch.setattr(listeners, 'UNREAD_PERIOD_S', 0.3)
+    size = 1_000_000
+
+    async def client(host, port, stop):
+        sock = await connect_unread(host, port)
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(sock, REQUEST)
+        received = 0
+        while received < size:
+            # More than the receive buffer, so that its window opens.
+            for _ in range(8):
+                received += len(await loop.sock_recv(sock, 16384))
+                if received >= size:
+                    break
+            await asyncio.sleep(0.02)
+        sock.close()
+        await stop()
+
+    run_while_stopping(client, make_body_answer(size))
+
+
+def test_a_body_that_stops_after_its_answer_is_cut_off(run_while_stopping):
+    """Guards against connections that no timer watches."""
+
+    async def client(host, port, stop):
+        for rest in (b'', b'x' * 99):
+            reader, writer = await asyncio.open_connection(host, port)
+            writer.write(
+                b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\nx'
+            )
+            assert b' 413 ' in await reader.readuntil(b'\r\n\r\n')
+            writer.write(rest)
+            async with asyncio.timeout(1.0):
+                assert await reader.read() == b''
+            writer.close()
+        await stop()
+
+    run_while_stopping(client, refuse_unread, idle_timeout_s=0.3)
+
+
 def test_requests_sent_ahead_are_read_one_by_one(run_while_stopping):
     """Guards against objects for all requests that a read brings."""
     seen = []
@@ -337,8 +427,7 @@
         each
         for each in gc.get_objects()
         if isinstance(each, listeners.BoundedProtocol)
-        and each.transport is not None
-        and not each.transport.is_closing()
+        and each in each.connections
     ]
 
 
