Bound what a process holds for all its clients together

Callers: crowds that stayed inside each limit, or open, took all memory of an entry or all its descriptors. The process was then ended, or took no other connection.

Cause: each limit was one for a connection or a request, none for all.

Evidence, (x86-64), one entry with 300 MB, an ordinary request afterwards: - 120 bodies in chunks that stop short of their end: 535 MB in large and 561 MB in small chunks, 519 MB at a path without a route - 120 bodies just sent far over the limit: 395 MB - 120 whole bodies that wait for a slow worker: 470 MB - 900 heads of short headers that stay open: 670 MB - 120 changes on a fixed node's port for operators: 372 MB - 600 heads or bodies that stay open, 256 descriptors: all were taken; 600 with unread answers: no ordinary request in 60 s All these tests fail there.

Ruled out: the paths; with and without a route an entry held 535 and 519 MB. Refusing what comes past the limit was weighed: a crowd that stays would keep others out.

Change: one table for all listeners counts bytes where they enter and leave. Past its limits it closes what has waited longest for its client, never a request in service. What clients send ahead is read in turns, one in an iteration of the event loop.

--- a/packages/base/src/apricotthread/base/settings.py
+++ b/packages/base/src/apricotthread/base/settings.py
@@ -127,6 +127,8 @@
     answer_buffer_bytes: int = 64 * units.KIB
     node_buffer_bytes: int = 64 * units.MIB
     socket_buffer_bytes: int = 4 * units.KIB
+    client_buffer_bytes: int = 64 * units.MIB
+    max_connections: int = 1024
     stall_s: float = 5.0
     drain_s: float = 600.0
     ready_grace_s: float = 2.0
@@ -319,14 +321,18 @@
             'answer_buffer_bytes',
             'node_buffer_bytes',
             'socket_buffer_bytes',
+            'client_buffer_bytes',
         )
     ),
-    SettingKey(
-        section='limits',
-        key='queue_length',
-        field='queue_length',
-        parse=parse_count,
-        allowed=ALLOWED_COUNT,
+    *(
+        SettingKey(
+            section='limits',
+            key=key,
+            field=key,
+            parse=parse_count,
+            allowed=ALLOWED_COUNT,
+        )
+        for key in ('queue_length', 'max_connections')
     ),
     *(
         SettingKey(
--- a/packages/daemon/src/apricotthread/daemon/fleetnode.py
+++ b/packages/daemon/src/apricotthread/daemon/fleetnode.py
@@ -21,6 +21,7 @@
 from apricotthread.control import proposals
 from apricotthread.control import replica
 from apricotthread.control import routetables
+from apricotthread.daemon import connectiontable
 from apricotthread.daemon import controlservice
 from apricotthread.daemon import listeners
 from apricotthread.daemon import signals
@@ -86,6 +87,7 @@
         self._settings_path = settings_path
         self.open_folder = open_folder
         self._log_writer = log_writer
+        self.client_table = connectiontable.make_table(settings, env.metrics)
         self._stopping = asyncio.Event()
         self._incarnation = int(env.timer.wall_time() * units.MS_PER_S)
         own = settings.own
@@ -269,7 +271,9 @@
             limits = routetables.CallerLimits
             if address is known.caller_address:
                 limits = self.entry.application.get_limits
-            listener = listeners.make_listener(app, limits=limits)
+            listener = listeners.make_listener(
+                app, limits=limits, table=self.client_table
+            )
             task = asyncio.create_task(
                 listeners.run_listener(listener, listening)
             )
@@ -280,7 +284,7 @@
         routes = [
             health.make_metrics_route(
                 process_metrics=self.env.metrics,
-                refresh=lambda: None,
+                refresh=self.client_table.publish_gauges,
                 path='/{path:path}',
             )
         ]
--- a/packages/daemon/src/apricotthread/daemon/listeners.py
+++ b/packages/daemon/src/apricotthread/daemon/listeners.py
@@ -17,6 +17,7 @@
 from apricotthread.base import units
 from apricotthread.base import uris
 from apricotthread.control import routetables
+from apricotthread.daemon import connectiontable
 
 BACKLOG = 1024
 # A connection on which something arrived within this time may bring a
@@ -38,8 +39,13 @@
 MAX_PIECE_BYTES = 16 * units.KIB
 MAX_PIECES_PER_TURN = 16
 END_OF_MESSAGE = b'\r\n\r\n'  # of a head, and of a body in chunks
+# Memory that a parsed header takes besides its text.
+HEADER_OVERHEAD_BYTES = 200
+# A body is held once by itself, and once in the request to an endpoint.
+BODY_COPIES = 2
 # A client that takes nothing of its answer for so long is disconnected.
 UNREAD_PERIOD_S = 60.0
+SHED_RETRY_S = 1
 # A timer that fires later than this shows that the node was paused.
 MAX_LATE_S = 0.25
 # What a target in absolute form has before its path.
@@ -70,10 +76,12 @@
         application,
         *,
         limits: collections.abc.Callable[[], routetables.CallerLimits],
+        table: connectiontable.ConnectionTable,
         **options,
     ) -> None:
         super().__init__(application, **options)
         self.limits = limits
+        self.table = table
         self.is_draining = False
         self.is_stopping = False
 
@@ -110,7 +118,8 @@
 
     It buffers little of an answer. A request is parsed once the one before
     it is answered; what has arrived of it waits unparsed, and beyond
-    READ_AHEAD_BYTES in the kernel.
+    READ_AHEAD_BYTES in the kernel. The table of connections knows what is
+    held, and may have it dropped.
 
     It is closed when its peer sends bytes without end that are no request,
     or a request so slowly that it would never be complete, or when it does
@@ -127,10 +136,13 @@
         super().connection_made(transport)
         self.flow = _FlowControl(transport)
         transport.set_write_buffer_limits(high=self.write_buffer_bytes)
+        self._table = self.config.table
         self._unparsed = bytearray()
         self._is_parsing_due = False
         self._is_sent_ahead = False
         self._unread_timer: asyncio.TimerHandle | None = None
+        self._unread_answer_bytes = 0
+        self._head_bytes = 0
         self._body_left = 0
         self._limits = self.config.limits()
         self._arrived_at = self.loop.time()
@@ -141,6 +153,7 @@
         self._is_refused = False
         self._running: httptools_impl.RequestResponseCycle | None = None
         self._expect(_Phase.ANSWERING, self._limits.idle_timeout_s)
+        self._table.add(self)
         if self.config.is_stopping:
             self.shutdown()
 
@@ -152,11 +165,12 @@
         """
         self._cancel_timer()
         self._cancel_unread_timer()
+        self._table.remove(self)
         if self._running is not None and not self._running.response_complete:
             self._running.disconnected = True
             self._running.message_event.set()
         super().connection_lost(error)
-        self._unparsed.clear()
+        self._drop_request()
 
     def data_received(self, data: bytes) -> None:
         """Remember when data arrived; parse it or hold it back."""
@@ -165,12 +179,14 @@
             return
         if self._unparsed or self._has_open_request():
             self._unparsed += data
+            self._table.note_sent_ahead(self)
         else:
             if self._phase is _Phase.ANSWERING:
                 self._is_sent_ahead = False
             self._parse(data)
         if len(self._unparsed) > READ_AHEAD_BYTES:
             self.flow.hold_reading()
+        self._update_held()
 
     def _has_open_request(self) -> bool:
         """Whether a request has arrived as a whole and is not answered."""
@@ -191,13 +207,19 @@
             if self._has_open_request():
                 break
         self._unparsed += data[start:]
+        self._table.note_sent_ahead(self)
         self._schedule_parsing()
 
+    @property
+    def has_sent_ahead(self) -> bool:
+        """Whether bytes wait behind a request that is being answered."""
+        return bool(self._unparsed)
+
     def _schedule_parsing(self) -> None:
         """Go on with the bytes held back, after the turns of others."""
         if self._unparsed and not self._is_parsing_due:
             self._is_parsing_due = True
-            self.loop.call_soon(self._parse_held)
+            self._table.add_turn(self._parse_held)
 
     def _parse_held(self) -> None:
         """Parse bytes that were held back."""
@@ -211,6 +233,7 @@
             self._parse(data)
         if len(self._unparsed) <= READ_AHEAD_BYTES:
             self.flow.release_reading()
+        self._update_held()
 
     def _find_piece_end(self, data: bytes, start: int) -> int:
         """Return where to stop parsing, not behind the end of a request."""
@@ -225,6 +248,7 @@
         if self._phase is _Phase.ANSWERING and self._is_idle():
             # Also for empty lines, which the parser does not report.
             self._expect(_Phase.HEAD, self._limits.header_timeout_s)
+            self._table.note_waiting(self)
         self._bytes_without_body += len(data)
         self._read(data)
         if self._is_refused or self.transport.is_closing():
@@ -304,6 +328,7 @@
         super().on_headers_complete()
         self.scope[uris.REQUEST_TARGET] = target
         self._body_left = self._read_content_length()
+        self._head_bytes = self._count_head_bytes()
         self._bytes_without_body = 0
         self._body_bytes = 0
         self._unread_bytes = 0
@@ -316,6 +341,11 @@
                 return int(value)  # the parser takes digits only
         return 0
 
+    def _count_head_bytes(self) -> int:
+        """Return about how much memory the present head takes."""
+        headers = self.headers or ()
+        return self._bytes_without_body + HEADER_OVERHEAD_BYTES * len(headers)
+
     def _check_head(self) -> None:
         """Refuse a head that may be read in several ways (RFC 9112)."""
         names = [name for name, _ in self.headers]
@@ -345,17 +375,22 @@
         if not self._is_idle():
             self.cycle.keep_alive = False
             return
-        if not self._is_sent_ahead:
-            self._write_refusal(status, message)
+        if self._is_sent_ahead:
+            self._close()
+            return
+        self._write_refusal(status, message)
         self._close()
 
-    def _write_refusal(self, status: int, message: str) -> None:
+    def _write_refusal(
+        self, status: int, message: str, extra_headers: bytes = b''
+    ) -> None:
         """Send an answer that this connection gives by itself."""
         body = message.encode()
         self.transport.write(
             httptools_impl.STATUS_LINE[status]
             + b'content-type: text/plain\r\nconnection: close\r\n'
-            b'content-length: %d\r\n\r\n%b' % (len(body), body)
+            + extra_headers
+            + b'content-length: %d\r\n\r\n%b' % (len(body), body)
         )
 
     def _close(self) -> None:
@@ -363,16 +398,79 @@
         self.transport.close()
         self._watch_unread()
 
+    def _drop_request(self) -> None:
+        """Drop what has arrived of a request; others refer to this object."""
+        self._unparsed.clear()
+        self.headers = []
+        self.scope = None
+        if self.cycle is not None:
+            self.cycle.body = bytearray()
+
+    def shed(self, reason: str) -> None:
+        """Drop what is held for the client, but a request in service.
+
+        A request that is not whole is refused as not run. Where one is being
+        answered, those behind it are dropped unread.
+        """
+        if self.transport.is_closing():
+            self.transport.abort()
+            self._table.remove(self)
+            return
+        self._log_cut(reason)
+        self._is_refused = True
+        self._unparsed.clear()
+        is_unread = self._unread_answer_bytes > 0
+        if self._has_open_request() and not is_unread:
+            self.cycle.keep_alive = False
+            self._update_held()
+            return
+        self._table.remove(self)
+        cycle = self.cycle
+        has_begun = self._phase is not _Phase.ANSWERING
+        if cycle is not None and not cycle.response_complete:
+            # Its application must not take the request for a whole one.
+            cycle.disconnected = True
+            cycle.message_event.set()
+            has_begun = has_begun and not cycle.response_started
+        # Now, as the connection is lost only after the reads of this turn.
+        self._drop_request()
+        if is_unread or self.transport.get_write_buffer_size():
+            self.transport.abort()
+            return
+        if has_begun:
+            self._write_refusal(
+                503,
+                f'Not run: this node has {reason}.',
+                b'retry-after: %d\r\n' % SHED_RETRY_S,
+            )
+        self._close()
+
+    def _update_held(self) -> None:
+        """Tell the table how much memory this connection takes."""
+        held_bytes = len(self._unparsed) + self._unread_answer_bytes
+        if self._phase is _Phase.HEAD:
+            held_bytes += self._count_head_bytes()
+        elif not self._is_idle():
+            held_bytes += self._head_bytes + BODY_COPIES * self._body_bytes
+        self._table.set_held(self, held_bytes)
+
     def pause_writing(self) -> None:
         """Wait for the client to read its answer."""
         super().pause_writing()
+        self._unread_answer_bytes = self.transport.get_write_buffer_size()
+        self._table.note_waiting(self)
         self._watch_unread()
+        self._update_held()
 
     def resume_writing(self) -> None:
         """Go on with an answer, most of which the client has taken."""
         super().resume_writing()
+        self._unread_answer_bytes = 0
         self._cancel_unread_timer()
         self._watch_unread()
+        if self._has_open_request():
+            self._table.note_serving(self)
+        self._update_held()
 
     def _watch_unread(self) -> None:
         """Disconnect a client that takes nothing of its answer.
@@ -429,12 +527,19 @@
         """Expect nothing until the answer is sent."""
         if self.parser.should_upgrade():
             return
+        # Before the application knows that the request is whole: it may be
+        # refused as not run.
+        self._update_held()
+        if self._is_refused:
+            return
         super().on_message_complete()
         if self._is_idle():
             self._expect(_Phase.ANSWERING, self._limits.idle_timeout_s)
             return
         self._phase = _Phase.ANSWERING
         self._cancel_timer()
+        if not self._unread_answer_bytes:
+            self._table.note_serving(self)
 
     def _is_idle(self) -> bool:
         """Whether no request waits for the end of its answer."""
@@ -505,8 +610,11 @@
         super().on_response_complete()
         if is_last and not self.transport.is_closing():
             self.transport.close()
+        if self._phase is _Phase.ANSWERING and not self._has_open_request():
+            self._table.note_waiting(self)
         self._watch_unread()
         self._schedule_parsing()
+        self._update_held()
 
     def _has_next_request(self) -> bool:
         """Whether a request waits behind the one that is being answered."""
@@ -610,15 +718,18 @@
     limits: collections.abc.Callable[
         [], routetables.CallerLimits
     ] = routetables.CallerLimits,
+    table: connectiontable.ConnectionTable | None = None,
 ) -> Listener:
     """Return a listener that serves an ASGI application.
 
-    `limits` returns what a peer may send at present, and how slowly.
+    `limits` returns what a peer may send at present, and how slowly. All
+    listeners of a process share the `table` of connections.
     """
     return Listener(
         _Config(
             application,
             limits=limits,
+            table=table or connectiontable.ConnectionTable(),
             http=BoundedProtocol,
             ws='none',
             lifespan='off',
--- a/packages/daemon/src/apricotthread/daemon/node.py
+++ b/packages/daemon/src/apricotthread/daemon/node.py
@@ -16,6 +16,7 @@
 from apricotthread.control import registers
 from apricotthread.control import replica
 from apricotthread.control import routetables
+from apricotthread.daemon import connectiontable
 from apricotthread.daemon import heartbeats
 from apricotthread.daemon import listeners
 from apricotthread.daemon import signals
@@ -61,6 +62,7 @@
     ) -> None:
         self.settings = settings
         self.env = env
+        self.client_table = connectiontable.make_table(settings, env.metrics)
         own = settings.own
         incarnation = int(env.timer.wall_time() * units.MS_PER_S)
         greeting = messages.Greeting(
@@ -271,6 +273,7 @@
     def refresh_gauges(self) -> None:
         """Set the gauges that are computed only when metrics are read."""
         self.budget.publish_gauges()
+        self.client_table.publish_gauges()
         metrics = self.env.metrics
         metrics.set_gauge('open_requests', self.router.open_requests)
         metrics.set_gauge('endpoints', len(self.endpoints.endpoint_by_id))
@@ -385,7 +388,9 @@
                 send_buffer_bytes=self.settings.socket_buffer_bytes,
             )
             listener = listeners.make_listener(
-                application, limits=self._make_limits
+                application,
+                limits=self._make_limits,
+                table=self.client_table,
             )
             task = asyncio.create_task(
                 listeners.run_listener(listener, listening_socket)
--- a/tests/clientcrowds.py
+++ b/tests/clientcrowds.py
@@ -4,6 +4,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import random
 
 # Each client gives up sending once the node has taken nothing for this time.
 SEND_TIMEOUT_S = 5.0
@@ -51,6 +52,66 @@
         yield part
 
 
+HOSTS = ('a.example', 'A.EXAMPLE:80', 'b.example', '')
+PATHS = ('/nowhere', '/reads/1', '/bids/1', '/lots/1', '/-/ready', '*')
+METHODS = ('GET', 'POST', 'PUT', 'HEAD', 'OPTIONS', 'CONNECT')
+HEADERS = (
+    'X-Api-Key: k1',
+    'X-Api-Key: unknown',
+    'Attempt-Id: drawn',
+    'Deadline-Ms: 900',
+    'Deadline-Ms: 60000',
+    'Model: m0',
+    'Token-Usage: 10,80',
+    'Expect: 100-continue',
+    'Connection: close',
+    'Connection: upgrade',
+    'Upgrade: websocket',
+    'Range: bytes=0-',
+)
+
+
+def draw_head(draw: random.Random) -> bytes:
+    """Return the head of a request, mostly a sound one, without framing."""
+    lines = [f'{draw.choice(METHODS)} {draw.choice(PATHS)} HTTP/1.1']
+    lines.append(f'Host: {draw.choice(HOSTS)}')
+    lines.extend(draw.sample(HEADERS, draw.randrange(5)))
+    return '\r\n'.join(lines).encode() + b'\r\n'
+
+
+def draw_parts(draw: random.Random) -> list[bytes]:
+    """Return what a client sends: requests, of which the last is not whole."""
+    parts = [draw_head(draw) + b'\r\n'] * draw.choice((0, 1, 5, 500, 5000))
+    head = draw_head(draw)
+    size = draw.choice((1, 1000, 100_000, 4_000_000))
+    match draw.choice(('head', 'headers', 'length', 'chunks', 'nothing')):
+        case 'head':
+            parts.append(head[: draw.randrange(len(head))])
+        case 'headers':
+            parts.append(head + b'a' * draw.choice((1, 9999)) + b':\r\n')
+            parts.append(b'a:\r\n' * draw.randrange(5600))
+        case 'length':
+            announced = draw.choice((size + 1, 1 << 34))
+            parts.append(head + b'Content-Length: %d\r\n\r\n' % announced)
+            parts.extend(repeat(b'x' * min(size, 50_000), size))
+        case 'chunks':
+            chunk = make_chunk(draw.choice((1, 16, 300, 70_000)))
+            parts.append(head + b'Transfer-Encoding: chunked\r\n\r\n')
+            # Small chunks take long to send, and as long to read.
+            parts.extend(repeat(chunk, min(size, 2000 * len(chunk))))
+    return parts
+
+
+def draw_crowd(draw: random.Random) -> Crowd:
+    """Return a crowd whose clients all send the same."""
+    parts = draw_parts(draw)
+    return Crowd(
+        clients=draw.choice((1, 20, 100, 300)),
+        make_parts=lambda: parts,
+        reads=draw.random() < 0.3,
+    )
+
+
 class OpenClients:
     """Connections of crowds, which stay open until they are closed."""
 
--- a/tests/test_clients_that_misbehave.py
+++ b/tests/test_clients_that_misbehave.py
@@ -8,7 +8,9 @@
 
 import asyncio
 import contextlib
+import os
 import pathlib
+import random
 import re
 
 import aiohttp
@@ -21,8 +23,11 @@
 
 # What the users' machines have for a process (their sheets, in MB).
 MACHINE_BYTES = 300_000_000
+# Fewer than the users' machines allow, so that a small crowd takes them all.
+MAX_DESCRIPTORS = 256
 ORDINARY_TIMEOUT_S = 60.0
 MAX_BODY_BYTES = 4 * units.MIB  # as the stand-in's configuration says
+CROWDS_OF_A_SEED = 8
 KEY = 'X-Api-Key: k1'
 CHUNKED = 'Transfer-Encoding: chunked'
 NO_ROUTE = clientcrowds.make_request('/nowhere')
@@ -53,6 +58,30 @@
             MANY_BYTES,
         ),
     ),
+    'large chunks that stop short of their end': clientcrowds.Crowd(
+        clients=120,
+        make_parts=lambda: clientcrowds.send_chunks(
+            clientcrowds.make_request('/reads/1', KEY, CHUNKED, method='POST'),
+            65536,
+            MAX_BODY_BYTES,
+        ),
+    ),
+    'small chunks that stop short of their end': clientcrowds.Crowd(
+        clients=120,
+        make_parts=lambda: clientcrowds.send_chunks(
+            clientcrowds.make_request('/reads/1', KEY, CHUNKED, method='POST'),
+            256,
+            MAX_BODY_BYTES,
+        ),
+    ),
+    'chunks at a path without a route': clientcrowds.Crowd(
+        clients=120,
+        make_parts=lambda: clientcrowds.send_chunks(
+            clientcrowds.make_request('/nowhere', CHUNKED, method='POST'),
+            65536,
+            MAX_BODY_BYTES,
+        ),
+    ),
     'bodies announced far over the limit': clientcrowds.Crowd(
         clients=120,
         make_parts=lambda: [
@@ -65,7 +94,76 @@
             *clientcrowds.repeat(b'x' * 65536, MAX_BODY_BYTES),
         ],
     ),
+    'bodies just sent far over the limit': clientcrowds.Crowd(
+        clients=120,
+        reads=True,
+        make_parts=lambda: clientcrowds.send_chunks(
+            clientcrowds.make_request('/reads/1', KEY, CHUNKED, method='POST'),
+            65536,
+            8 * MAX_BODY_BYTES,
+        ),
+    ),
+    'heads of many short headers that stay open': clientcrowds.Crowd(
+        clients=900,
+        make_parts=lambda: [
+            b'GET /nowhere HTTP/1.1\r\n',
+            b'a:\r\n' * 5600,  # 22 KiB of the head's 24
+        ],
+    ),
+    'changes that stop short of their end': clientcrowds.Crowd(
+        clients=120,
+        make_parts=lambda: clientcrowds.send_chunks(
+            clientcrowds.make_request('/changes', CHUNKED, method='POST'),
+            65536,
+            MAX_BODY_BYTES,
+        ),
+    ),
+    'whole bodies that wait for a slow worker': clientcrowds.Crowd(
+        clients=120,
+        make_parts=lambda: [
+            clientcrowds.make_request(
+                '/lots/1',
+                KEY,
+                'Attempt-Id: waiting',
+                'Model: m0',
+                'Token-Usage: 10,80',
+                'Deadline-Ms: 60000',
+                f'Content-Length: {MAX_BODY_BYTES}',
+                method='POST',
+            ),
+            *clientcrowds.repeat(b'x' * 65536, MAX_BODY_BYTES),
+        ],
+    ),
 }
+# Each client holds a descriptor; the last ones find none.
+CROWDS_WITHOUT_DESCRIPTORS = {
+    'idle connections': clientcrowds.Crowd(clients=600, make_parts=list),
+    'heads that stay open': clientcrowds.Crowd(
+        clients=600, make_parts=lambda: [NO_ROUTE[:9]]
+    ),
+    'bodies that stay open': clientcrowds.Crowd(
+        clients=600,
+        make_parts=lambda: [
+            clientcrowds.make_request('/reads/1', KEY, CHUNKED, method='POST'),
+            clientcrowds.make_chunk(16),
+        ],
+    ),
+    'unread answers': clientcrowds.Crowd(
+        clients=600,
+        make_parts=lambda: clientcrowds.repeat(NO_ROUTE * 100, MANY_BYTES),
+    ),
+}
+
+
+class PoorDeployment(platformstandin.Deployment):
+    """A deployment whose entries may open few descriptors."""
+
+    def _make_command(self, host, path):
+        command = super()._make_command(host, path)
+        if host not in self.entries:
+            return command
+        limit = f'ulimit -n {MAX_DESCRIPTORS}; exec "$0" "$@"'
+        return ['/bin/sh', '-c', limit, *command]
 
 
 def read_peak_bytes(process):
@@ -74,6 +172,11 @@
     return int(re.search(r'VmHWM:\s+(\d+) kB', text)[1]) * 1024
 
 
+def count_descriptors(process):
+    """Return how many descriptors a process has open."""
+    return len(os.listdir(f'/proc/{process.pid}/fd'))
+
+
 async def request_until_answered(deployment, host):
     """Send an ordinary request, again if it is refused, as clients may."""
     outcomes = []
@@ -170,12 +273,28 @@
     assert peak_bytes <= MACHINE_BYTES
 
 
+def check_descriptors(process):
+    """Check that a process has descriptors left."""
+    assert count_descriptors(process) < MAX_DESCRIPTORS
+    check_memory(process)
+
+
 @pytest.mark.parametrize('name', CROWDS)
 def test_a_crowd_does_not_fill_the_memory_of_an_entry(play, name):
     """Guards against entries that hold all that their clients send."""
     play(CROWDS[name], check_memory)
 
 
+@pytest.mark.parametrize('name', CROWDS_WITHOUT_DESCRIPTORS)
+def test_a_crowd_does_not_take_all_descriptors_of_an_entry(play, name):
+    """Guards against entries that accept connections until none is left."""
+    play(
+        CROWDS_WITHOUT_DESCRIPTORS[name],
+        check_descriptors,
+        kind=PoorDeployment,
+    )
+
+
 def test_a_body_without_end_does_not_fill_the_memory_of_a_control_node(play):
     """Guards against bodies of configurations that are read as a whole."""
     crowd = clientcrowds.Crowd(
@@ -197,6 +316,7 @@
         ('caller_port', 'requests sent ahead at a path without a route'),
         ('endpoint_port', 'requests sent ahead at a path without a route'),
         ('operator_port', 'requests sent ahead at a path without a route'),
+        ('operator_port', 'changes that stop short of their end'),
     ],
 )
 def test_a_crowd_does_not_fill_the_memory_of_a_fixed_node(
@@ -227,3 +347,32 @@
             await clients.close()
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_drawn_crowds_leave_an_entry_its_memory(children, tmp_path, seed):
+    """Guards against crowds that nobody has thought of."""
+    draw = random.Random(seed)
+    crowds = [clientcrowds.draw_crowd(draw) for _ in range(CROWDS_OF_A_SEED)]
+    deployment = platformstandin.Deployment(
+        children=children, folder=tmp_path, entries=1
+    )
+    clients = clientcrowds.OpenClients()
+
+    async def main():
+        try:
+            host = await start_with_worker(deployment, ())
+            process = deployment.process_by_host[host]
+            async with asyncio.TaskGroup() as tasks:
+                for crowd in crowds:
+                    tasks.create_task(
+                        clients.send(host, deployment.caller_port, crowd)
+                    )
+            await request_until_answered(deployment, host)
+            assert process.returncode is None
+            check_memory(process)
+        finally:
+            await clients.close()
+            await deployment.close()
+
+    asyncio.run(main())
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -10,6 +10,7 @@
 import uvloop
 
 from apricotthread.control import routetables
+from apricotthread.daemon import connectiontable
 from apricotthread.daemon import listeners
 
 REQUEST = b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
@@ -54,7 +55,7 @@
     The client gets the address, and a function that starts the stop.
     """
 
-    def run(client, application=answer_slowly, **limits):
+    def run(client, application=answer_slowly, *, table=None, **limits):
         async def main():
             listening = listeners.open_socket(
                 '127.0.0.1', 0, send_buffer_bytes=65536
@@ -63,6 +64,7 @@
             listener = listeners.make_listener(
                 application,
                 limits=lambda: routetables.CallerLimits(**limits),
+                table=table,
             )
             task = asyncio.create_task(
                 listeners.run_listener(listener, listening)
@@ -431,6 +433,44 @@
     ]
 
 
+@pytest.mark.parametrize('whole', [False, True])
+def test_a_request_that_is_refused_for_others_does_not_run(
+    run_while_stopping, whole
+):
+    """Guards against 503 for a request that runs all the same."""
+    seen = []
+
+    async def run(scope, receive, send):
+        while True:
+            message = await receive()
+            if message['type'] == 'http.disconnect':
+                return
+            if not message['more_body']:
+                seen.append(scope['path'])
+                await answer_slowly(scope, receive, send)
+                return
+
+    table = connectiontable.ConnectionTable(max_connections=10, max_bytes=1000)
+
+    async def client(host, port, stop):
+        head = b'POST /%b HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n\r\n'
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(head % b'first' + b'x' * 800)
+        await asyncio.sleep(0.05)
+        other_reader, other_writer = await asyncio.open_connection(host, port)
+        other_writer.write(head % b'second' + b'x' * (900 if whole else 800))
+        refused = await reader.read()
+        assert b' 503 ' in refused and b'retry-after: ' in refused
+        other_writer.write(b'x' * (0 if whole else 100))
+        assert b' 200 ' in await other_reader.readuntil(b'body')
+        other_writer.close()
+        writer.close()
+        await stop()
+        assert seen == ['/second']
+
+    run_while_stopping(client, run, table=table)
+
+
 class BusyCaller:
     """Sends requests with blocking sockets while the event loop is busy."""
 
