Share the bytes of the routing table among all answers

Operators: clients that read the configuration and did not read the answer filled the memory of a control node.

Cause: each read decompressed the document anew, so a table of 1 MB took as much for each client that asked, and many asked before the first answer was counted as unread.

Evidence: 1,500 clients ask each of three control nodes for a table with 4,000 routes.

Ruled out: the replies of the leader, which stay compressed.

Change: the document that was read last is kept with its compressed form.

--- a/packages/daemon/src/apricotthread/daemon/controlservice.py
+++ b/packages/daemon/src/apricotthread/daemon/controlservice.py
@@ -52,6 +52,9 @@
         self._pauses = pause_detector
         self._data_centres = frozenset(data_centres)
         self._get_table = get_table
+        # The document read last; all answers that hold it share its bytes.
+        self._compressed_document = b''
+        self._document = b''
 
     def _make_origin(self, command_id: str, source: str) -> commands.Origin:
         return commands.Origin(
@@ -103,7 +106,10 @@
                 message='no routing table has been submitted yet',
                 retry_after_s=1.0,
             )
-        return zlib.decompress(document)
+        if document != self._compressed_document:
+            self._compressed_document = document
+            self._document = zlib.decompress(document)
+        return self._document
 
     async def _read_as_leader(self) -> tuple[int, bytes]:
         """Return the version and document once they are surely the newest.
--- a/tests/test_clients_that_misbehave.py
+++ b/tests/test_clients_that_misbehave.py
@@ -310,6 +310,19 @@
     play(crowd, check_memory, at_controls=True)
 
 
+def test_unread_answers_do_not_fill_the_memory_of_a_control_node(play):
+    """Guards against large answers that are held for all who ask."""
+    crowd = clientcrowds.Crowd(
+        clients=1500,
+        make_parts=lambda: [
+            clientcrowds.make_request(platformstandin.GET_TABLE_PATH)
+        ],
+    )
+    # About 1 MB in all.
+    prefixes = [f'/extra/{number}/' for number in range(4000)]
+    play(crowd, check_memory, at_controls=True, prefixes=prefixes)
+
+
 @pytest.mark.parametrize(
     ('port', 'name'),
     [
