--- a/tests/test_clients_that_misbehave.py
+++ b/tests/test_clients_that_misbehave.py
@@ -209,10 +209,13 @@
     (host,) = deployment.entries
 
     async def serves():
-        status, _, _ = await deployment.send_request(
-            host, '/reads/1', Attempt_Id='first'
-        )
-        return status == 200
+        # The entry may not listen yet.
+        with contextlib.suppress(aiohttp.ClientError):
+            status, _, _ = await deployment.send_request(
+                host, '/reads/1', Attempt_Id='first'
+            )
+            return status == 200
+        return False
 
     async def streams():
         status, _, _ = await deployment.request_stream(host, 'first')
