--- a/bench/proofs.py
+++ b/bench/proofs.py
@@ -204,8 +204,9 @@
     Removal(
         mechanism='a head that offers an upgrade is read once more',
         module='daemon/listeners.py',
-        code='if self.parser.should_upgrade() and not is_connect:',
-        instead='if False:',
+        code='        if self.parser.should_upgrade():\n'
+        '            return  # the head',
+        instead='        if False:\n            return  # the head',
         test='tests/test_requests_in_any_writing.py::test_the_body_after_an_'
         'offer_of_an_upgrade_is_no_request',
     ),
@@ -323,7 +324,7 @@
     Removal(
         mechanism='a drain answers pipelined requests before it closes',
         module='daemon/listeners.py',
-        code='if starts and not self.pipeline:',
+        code='if starts and not self._has_next_request():',
         instead='if starts:',
         test='tests/test_fleet_system.py::test_pipelined_requests_are_'
         'answered_while_an_entry_drains',
@@ -919,6 +920,97 @@
         test='tests/test_announced_busy_times.py::test_an_endpoint_that_'
         'announces_to_be_busy_gets_nothing_until_then',
     ),
+    Removal(
+        mechanism='requests sent ahead are parsed one by one',
+        module='daemon/listeners.py',
+        code='            if self._has_open_request():\n'
+        '                break\n',
+        instead='',
+        test='tests/test_listeners.py::test_requests_sent_ahead_are_read_one'
+        '_by_one',
+    ),
+    Removal(
+        mechanism='reading is held while bytes wait behind a request',
+        module='daemon/listeners.py',
+        code='if len(self._unparsed) > READ_AHEAD_BYTES:',
+        instead='if False:',
+        test='tests/test_clients_that_misbehave.py::test_a_crowd_does_not_fill'
+        '_the_memory_of_an_entry[requests sent ahead without a key]',
+    ),
+    Removal(
+        mechanism='clients that take nothing of their answer are disconnected',
+        module='daemon/listeners.py',
+        code='if unread_bytes and self._unread_timer is None:',
+        instead='if False:',
+        test='tests/test_listeners.py::test_a_client_that_reads_nothing_is_'
+        'disconnected',
+    ),
+    Removal(
+        mechanism='a timer runs after a body whose answer came early',
+        module='daemon/listeners.py',
+        code='        if self._is_idle():\n'
+        '            self._expect(_Phase.ANSWERING,',
+        instead='        if False:\n'
+        '            self._expect(_Phase.ANSWERING,',
+        test='tests/test_listeners.py::test_a_body_that_stops_after_its_answer'
+        '_is_cut_off',
+    ),
+    Removal(
+        mechanism='a request is refused for others before it counts as whole',
+        module='daemon/listeners.py',
+        code='        self._update_held()\n        if self._is_refused:\n',
+        instead='        if False:\n',
+        test='tests/test_listeners.py::test_a_whole_request_that_finds_no_room'
+        '_does_not_run',
+    ),
+    Removal(
+        mechanism='the method CONNECT is refused',
+        module='daemon/listeners.py',
+        code="if self.parser.get_method() == b'CONNECT':",
+        instead='if False:',
+        test='tests/test_requests_in_any_writing.py::test_a_target_that_is_'
+        'none_is_refused',
+    ),
+    Removal(
+        mechanism='connections beyond the limit are shed',
+        module='daemon/connectiontable.py',
+        code='if self.open_connections > self._max_connections:',
+        instead='if False:',
+        test='tests/test_clients_that_misbehave.py::test_a_crowd_does_not_take'
+        '_all_descriptors_of_an_entry[bodies that stay open]',
+    ),
+    Removal(
+        mechanism='bytes beyond the limit are dropped',
+        module='daemon/connectiontable.py',
+        code='if held_bytes > before and self.held_bytes > self._max_bytes:',
+        instead='if False:',
+        test='tests/test_clients_that_misbehave.py::test_a_crowd_does_not_fill'
+        '_the_memory_of_an_entry[large chunks that stop short of their end]',
+    ),
+    Removal(
+        mechanism='requests sent ahead take turns',
+        module='daemon/connectiontable.py',
+        code='        if len(self._turns) == 1:\n',
+        instead='        if True:\n',
+        test='tests/test_connectiontable.py::test_turns_are_taken_one_by_one',
+    ),
+    Removal(
+        mechanism='a body that is announced over the limit is refused at once',
+        module='gateway/application.py',
+        code='        _check_body_size(_read_content_length(headers), '
+        'max_body_bytes)\n',
+        instead='',
+        test='tests/test_clients_that_misbehave.py::test_a_crowd_does_not_fill'
+        '_the_memory_of_an_entry[bodies announced far over the limit]',
+    ),
+    Removal(
+        mechanism='answers with the routing table share its bytes',
+        module='daemon/controlservice.py',
+        code='if document != self._compressed_document:',
+        instead='if True:',
+        test='tests/test_clients_that_misbehave.py::test_unread_answers_do_not'
+        '_fill_the_memory_of_a_control_node',
+    ),
 )
 
 
