Read what has come before a stop closes idle connections

Cause: the stop closes idle connections by what has been read. Where it goes on before the reads of its turn of the event loop, a request in the kernel is not known.

Evidence: a test that starts the stop in the turn after the requests were sent fails on asyncio's loop (1 of 2 cases; uvloop reads first).

Change: two turns of the event loop before connections are closed.

--- a/packages/daemon/src/apricotthread/daemon/listeners.py
+++ b/packages/daemon/src/apricotthread/daemon/listeners.py
@@ -23,6 +23,8 @@
 # A connection on which something arrived within this time may bring a
 # request, or the rest of one, so a stop closes it later.
 RECENT_S = 0.5
+# Turns of the event loop until it has read all that came before them.
+TURNS_TO_READ = 2
 # What a head may have besides its headers.
 MAX_REQUEST_LINE_BYTES = 8 * units.KIB
 # What may arrive of a body after the answer to its request.
@@ -652,13 +654,17 @@
         yield
 
     async def shutdown(self, sockets: list[socket.socket]) -> None:
-        """Stop once the connections in the backlog are accepted.
+        """Stop once what has come by now is accepted and read.
 
-        The kernel would reset them, with the requests that they brought.
+        The kernel would reset connections of the backlog, with the requests
+        that they brought; and a connection counts as idle that has a request
+        which is not read yet.
         """
         self.config.is_stopping = True
         for listening_socket in sockets:
             await self._accept_backlog(listening_socket)
+        for _ in range(TURNS_TO_READ):
+            await asyncio.sleep(0)
         await super().shutdown(sockets)
 
     async def _accept_backlog(self, listening_socket: socket.socket) -> None:
--- a/tests/test_listeners.py
+++ b/tests/test_listeners.py
@@ -471,6 +471,40 @@
     run_while_stopping(client, run, table=table)
 
 
+def test_a_whole_request_that_finds_no_room_does_not_run(run_while_stopping):
+    """Guards against 503 for a request that was passed on meanwhile."""
+    seen = []
+    go_on = asyncio.Event()
+
+    async def run(scope, receive, send):
+        while (message := await receive()).get('more_body'):
+            pass
+        if message['type'] == 'http.request':
+            seen.append(scope['path'])
+            await go_on.wait()
+            await answer_slowly(scope, receive, send)
+
+    table = connectiontable.ConnectionTable(max_connections=10, max_bytes=1000)
+
+    async def client(host, port, stop):
+        head = b'POST /%b HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n\r\n'
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(head % b'first' + b'x' * 900)
+        await asyncio.sleep(0.05)
+        other_reader, other_writer = await asyncio.open_connection(host, port)
+        other_writer.write(head % b'second' + b'x' * 900)
+        async with asyncio.timeout(2.0):
+            assert b' 503 ' in await other_reader.read()
+        go_on.set()
+        assert b' 200 ' in await reader.readuntil(b'body')
+        other_writer.close()
+        writer.close()
+        await stop()
+        assert seen == ['/first']
+
+    run_while_stopping(client, run, table=table)
+
+
 class BusyCaller:
     """Sends requests with blocking sockets while the event loop is busy."""
 
@@ -545,3 +579,35 @@
             assert answer.endswith(b'\r\n\r\nbody')
 
     run_while_stopping(client)
+
+
+@pytest.mark.parametrize(
+    'make_loop', [asyncio.new_event_loop, uvloop.new_event_loop]
+)
+def test_a_request_that_came_before_a_stop_closes_connections_is_answered(
+    make_loop,
+):
+    """Guards against a stop that is quicker than the reads of its turn."""
+
+    async def main():
+        listening = listeners.open_socket(
+            '127.0.0.1', 0, send_buffer_bytes=65536
+        )
+        listener = listeners.make_listener(answer_slowly)
+        task = asyncio.create_task(listeners.run_listener(listener, listening))
+        while not listener.started:
+            await asyncio.sleep(0.01)
+        caller = BusyCaller(listening.getsockname())
+        caller.connect(20)
+        await asyncio.sleep(2 * listeners.RECENT_S)
+        # The stop goes on in the next turn, before what it reads.
+        listeners.stop_listener(listener)
+        stopping = asyncio.create_task(listener.shutdown([listening]))
+        caller.send(REQUEST)
+        for answer in await caller.read_answers():
+            assert answer.endswith(b'\r\n\r\nbody')
+        await asyncio.wait([stopping, task], timeout=5)
+        task.cancel()
+
+    with asyncio.Runner(loop_factory=make_loop) as runner:
+        runner.run(main())
