--- a/tests/test_clients_that_misbehave.py
+++ b/tests/test_clients_that_misbehave.py
@@ -45,6 +45,16 @@
             clientcrowds.make_request('/reads/1') * 100, MANY_BYTES
         ),
     ),
+    'requests sent ahead at a route': clientcrowds.Crowd(
+        clients=24,
+        make_parts=lambda: clientcrowds.repeat(
+            clientcrowds.make_request(
+                '/reads/1', KEY, 'Attempt-Id: ahead', 'Deadline-Ms: 900'
+            )
+            * 100,
+            MANY_BYTES,
+        ),
+    ),
     'requests with bodies sent ahead': clientcrowds.Crowd(
         clients=24,
         make_parts=lambda: clientcrowds.repeat(
