--- a/review/standin3.py
+++ b/review/standin3.py
@@ -101,7 +101,7 @@
 
 
 class Nodes:
-    """The project's processes: control nodes 127.31.1.N, entries 127.31.2.N."""
+    """The processes: control nodes are 127.31.1.N, entries 127.31.2.N."""
 
     def __init__(
         self, record, *, controls=3, entries=2, zones=('z-a',), has_cuts=False
