--- a/review/11/case.py
+++ b/review/11/case.py
@@ -18,7 +18,7 @@
 START = f'/-/evacuations/{ZONE}/start'
 END = f'/-/evacuations/{ZONE}/end'
 CUT_S = 4.0  # core_cut lasts 4 to 5.5 s in the site file
-ORDER_AFTER_S = 2.0
+ORDER_AFTER_S = 2.3
 EVACUATE_S = 5.0  # evacuate-ms
 CONTACT_S = 3.0  # contact-ms
 
