--- a/review/11/case.py
+++ b/review/11/case.py
@@ -21,6 +21,7 @@
 ORDER_AFTER_S = 2.3
 EVACUATE_S = 5.0  # evacuate-ms
 CONTACT_S = 3.0  # contact-ms
+OUTER_S = 5.0  # outer-ms stretches evacuate-ms while the core is unstable
 
 
 async def case(record, trouble):
@@ -59,7 +60,8 @@
         await standin3.order_until_acknowledged(record, connected, START)
         if heal is not None:
             await heal
-        await asyncio.sleep(EVACUATE_S + CONTACT_S)
+        # All bounds and excuses, counted from the later of ack and cut's end.
+        await asyncio.sleep(EVACUATE_S + OUTER_S + CONTACT_S)
         runs = await client.ask_for(6.0)
         if sum(runs.values()) < 50:
             raise standin3.CannotRun('too few calls ran to judge')
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import json
 import pathlib
 import sys
 
@@ -56,6 +57,10 @@
             await heal
         await asyncio.sleep(2 * CONTACT_S)
         await client.ask_for(4.0)
+        # The final fault comes immediately after a config was acknowledged.
+        operator = standin3.Operator(nodes, record)
+        config = {**standin3.PLAIN_CONFIG, 'version': 2}
+        await operator.send('/-/config/put', json.dumps(config).encode())
         record('final fault: all processes are killed')
         hosts = [*nodes.control_hosts, *nodes.entry_hosts]
         await nodes.kill(hosts)
