Refuse orders that a newer one without effect has replaced

Cause: an order that finds nothing to change left no trace, so an older one with the same base version was accepted after it; and nodes repeated an order for 3 s (8 s at the operators' port) after its caller had left. By the same cause a local take-out that was recorded late undid an acknowledged bring-back, was set 8 s after its operator had left, and an old admission or removal of a voter undid a newer one.

Ruled out: not repeating orders alone (a proposal held up by the network still undid the newer order); a version for orders without effect (replicas of the release before would give none, and diverge for good while a core is upgraded node by node).

Change: an order names the last log entry known to be committed while its caller waited. The leader refuses it, before it is logged, if a newer order about the same subject was accepted. It is proposed again, on top of that, only while its caller waits.

--- a/packages/control/src/apricotthread/control/commands.py
+++ b/packages/control/src/apricotthread/control/commands.py
@@ -17,12 +17,18 @@
 
 
 class Origin(msgspec.Struct, frozen=True, kw_only=True):
-    """Who sent an operator's command, from where and when."""
+    """Who sent an operator's command, from where and when.
+
+    `base_index` is the last log entry that was known to be committed while
+    the operator waited for the command: any order after it may be newer.
+    None if the receiving node does not tell, as those of older releases.
+    """
 
     command_id: str
     operator: str
     source: str
     wall_time_s: float
+    base_index: int | None = None
 
 
 class RowEdit(msgspec.Struct, frozen=True, kw_only=True):
@@ -155,6 +161,9 @@
     """The result of a command.
 
     The code is empty if the command was accepted, else an error code.
+    `rebase_index` is set if an order after the command's base index was
+    found. It is the base index to propose the command again with, if its
+    operator still waits.
     """
 
     version: int
@@ -162,12 +171,19 @@
     message: str = ''
     conflicts: list[RowConflict] = []
     group_fencing: int = 0
+    # Not in the results that snapshots keep.
+    rebase_index: int | msgspec.UnsetType = msgspec.UNSET
 
     @property
     def accepted(self) -> bool:
         """Whether the command was accepted."""
         return not self.code
 
+    @property
+    def may_be_superseded(self) -> bool:
+        """Whether it was refused as a newer order may have replaced it."""
+        return self.rebase_index is not msgspec.UNSET
+
 
 def encode_command(command: AnyCommand) -> bytes:
     """Return a command as JSON."""
--- a/packages/control/src/apricotthread/control/replica.py
+++ b/packages/control/src/apricotthread/control/replica.py
@@ -14,6 +14,7 @@
 from apricotthread.control import audit
 from apricotthread.control import commands
 from apricotthread.control import logstore
+from apricotthread.control import orders
 from apricotthread.control import progress
 from apricotthread.control import state
 from apricotthread.control import statetransfer
@@ -70,6 +71,7 @@
         self._vote_wait_s = lease_s / 2
         self.store = store
         self.state = state.AgreedState()
+        self._order_positions = orders.OrderPositions()
         self.voters = voters.Voters(
             own=own,
             node_by_id=node_by_id,
@@ -148,6 +150,7 @@
         self.state = state.AgreedState.decode(snapshot.data)
         self.commit_index = max(self.commit_index, snapshot.index)
         self.applied_index = snapshot.index
+        self._order_positions.reset(snapshot.index)
         self._notify_applied()
 
     async def _replace_state(self, snapshot: logstore.SnapshotRecord) -> None:
@@ -424,12 +427,19 @@
     # Replication, on the leader
 
     async def _append_as_leader(
-        self, payload: bytes
+        self, payload: bytes, *, order: commands.AnyCommand | None = None
     ) -> asyncio.Future[commands.Result]:
-        """Append a command to the log; return a future of its result."""
+        """Append a command to the log; return a future of its result.
+
+        An order that a newer one may have replaced is refused instead.
+        """
         async with self._log_lock:
             if self.role is not Role.LEADER:
                 raise self._make_leadership_lost_error()
+            if order is not None and self._may_be_superseded(order):
+                future = asyncio.get_running_loop().create_future()
+                future.set_result(self._refuse_superseded(order))
+                return future
             entry = messages.LogEntry(
                 index=self.store.last_index + 1,
                 term=self.store.term,
@@ -443,6 +453,50 @@
         self._wake_application()
         return future
 
+    def _may_be_superseded(self, order: commands.AnyCommand) -> bool:
+        """Whether the log has an order about the same after its base index.
+
+        This is decided before the order is logged: replicas of an older
+        release apply what is logged without asking. An order that is
+        repeated gets its first result.
+        """
+        subjects = orders.subjects_of(order)
+        if not subjects:
+            return False
+        origin = order.origin
+        if origin.base_index is None or (
+            origin.command_id in self.state.content.result_by_command_id
+        ):
+            return False
+        newest_index = self._order_positions.find_newest(order)
+        for index in range(self.applied_index + 1, self.store.last_index + 1):
+            logged = commands.decode_command(
+                self.store.entry_at(index).payload
+            )
+            if subjects & orders.subjects_of(logged):
+                if logged.origin.command_id == origin.command_id:
+                    return False
+                newest_index = index
+        return newest_index > origin.base_index
+
+    def _refuse_superseded(
+        self, order: commands.AnyCommand
+    ) -> commands.Result:
+        subjects = ', '.join(sorted(orders.subjects_of(order)))
+        logs.log_event(
+            'order_may_be_superseded',
+            command_id=order.origin.command_id,
+            subjects=subjects,
+            base_index=order.origin.base_index,
+            applied_index=self.applied_index,
+        )
+        return commands.Result(
+            version=self.state.version,
+            code=errors.ErrorCode.CONFLICT.label,
+            message=f'an order about {subjects} was accepted since',
+            rebase_index=self.applied_index,
+        )
+
     async def _replicate(self, link: links.PeerLink) -> None:
         """Keep the log of one peer up to date while this node leads."""
         while True:
@@ -651,6 +705,8 @@
                 command = commands.decode_command(entry.payload)
                 result, audit_records = self.state.apply(command, index=index)
                 records.extend(audit_records)
+                if result.accepted:
+                    self._order_positions.add(command, index)
                 self.applied_index = index
                 future = self._result_by_index.pop(index, None)
                 if future is not None and not future.done():
@@ -683,11 +739,14 @@
 
     # Proposals, and queries of the progress
 
-    async def propose_as_leader(self, payload: bytes) -> commands.Result:
+    async def propose_as_leader(
+        self, payload: bytes, *, order: commands.AnyCommand | None = None
+    ) -> commands.Result:
         """Append a command as the leader and return its result.
 
-        Raises ApricotError with code NOT_LEADER when this node is not
-        certain to be the leader.
+        `order` is the decoded command if an operator sent it. Raises
+        ApricotError with code NOT_LEADER when this node is not certain to be
+        the leader.
         """
         if not self.holds_lease():
             raise errors.ApricotError(
@@ -695,7 +754,7 @@
                 message='this node is not the leader',
             )
         try:
-            future = await self._append_as_leader(payload)
+            future = await self._append_as_leader(payload, order=order)
         except errors.ApricotError as error:
             self._step_down(error.message)
             raise
--- a/packages/daemon/src/apricotthread/daemon/controlservice.py
+++ b/packages/daemon/src/apricotthread/daemon/controlservice.py
@@ -23,10 +23,6 @@
 # The platform's callers wait a second for an answer.
 CALLER_WAIT_S = 0.8
 MARK_RETRY_S = 0.05
-# The end of a connection is read after what was sent before it.
-CALLER_CHECK_S = 0.02
-
-CallerCheck = collections.abc.Callable[[], collections.abc.Awaitable[bool]]
 
 
 class ControlService:
@@ -165,13 +161,14 @@
         *,
         out: bool,
         source: str,
-        is_caller_waiting: CallerCheck,
+        is_caller_waiting: proposals.CallerCheck,
     ) -> None:
         """Take a data centre out, or bring it back.
 
         The call names no version that it is based on, so one that comes late
-        could undo a newer one. So it takes effect only while its caller waits
-        for it, also if the mark was changed meanwhile or this node is behind.
+        could undo a newer one. It is proposed only while its caller waits for
+        it, and on top of what was agreed then: a proposal that is late itself
+        is refused if another order about the data centre was accepted since.
         Else it is to be sent again.
         Raises ApricotError with code UNKNOWN_ROW or NO_QUORUM.
         """
@@ -181,14 +178,39 @@
                 message=f'there is no data centre {data_centre!r}',
             )
         deadline = self._env.timer.now() + CALLER_WAIT_S
-        why_late = ''
-        while not why_late:
+        base_index = 0
+        while True:
             base_version = self._raft.state.version
+            base_index = max(base_index, self._raft.applied_index)
             why_late = await self._find_why_late(deadline, is_caller_waiting)
-            if not why_late and await self._propose_mark(
-                data_centre, out=out, source=source, base_version=base_version
-            ):
+            if why_late:
+                break
+            command = commands.MarkDataCentre(
+                origin=self._make_origin(self._env.new_id(), source),
+                base_version=base_version,
+                data_centre=data_centre,
+                out=out,
+                force=True,
+            )
+            result = await self._proposer.propose(
+                proposals.rebase(command, base_index),
+                timeout_s=PROPOSE_TIMEOUT_S,
+                is_caller_waiting=is_caller_waiting,
+            )
+            logs.log_event(
+                'data_centre_marked',
+                data_centre=data_centre,
+                out=out,
+                accepted=result.accepted,
+                source=source,
+                base_version=base_version,
+                base_index=base_index,
+                version=result.version,
+            )
+            if result.accepted:
                 return
+            if result.may_be_superseded:
+                base_index = result.rebase_index
         logs.log_event(
             'late_mark_refused',
             data_centre=data_centre,
@@ -204,42 +226,16 @@
         )
 
     async def _find_why_late(
-        self, deadline: float, is_caller_waiting: CallerCheck
+        self, deadline: float, is_caller_waiting: proposals.CallerCheck
     ) -> str:
         """Return why a call may have been replaced by now, empty if not."""
         if self._pauses.may_be_old():
             return 'this node stood still, so the call may be old'
         if self._env.timer.now() >= deadline:
             return 'the mark was changed meanwhile'
-        await self._env.timer.sleep(CALLER_CHECK_S)
+        await self._env.timer.sleep(proposals.CALLER_CHECK_S)
         return '' if await is_caller_waiting() else 'its caller has left'
 
-    async def _propose_mark(
-        self, data_centre: str, *, out: bool, source: str, base_version: int
-    ) -> bool:
-        """Propose a mark; return False if it was changed after the version.
-
-        Also a change that this node has not applied yet counts.
-        """
-        result = await self._proposer.propose(
-            commands.MarkDataCentre(
-                origin=self._make_origin(self._env.new_id(), source),
-                base_version=base_version,
-                data_centre=data_centre,
-                out=out,
-                force=True,
-            ),
-            timeout_s=PROPOSE_TIMEOUT_S,
-        )
-        logs.log_event(
-            'data_centre_marked',
-            data_centre=data_centre,
-            out=out,
-            accepted=result.accepted,
-            source=source,
-        )
-        return result.accepted
-
     def announce(self, announcement: directory.Announcement) -> None:
         """Process an endpoint's announcement.
 
--- a/packages/fakes/src/apricotthread/fakes/networks.py
+++ b/packages/fakes/src/apricotthread/fakes/networks.py
@@ -24,6 +24,7 @@
         self.sent_frames = 0
         self.sent_bytes = 0
         self._cuts: set[tuple[str, str]] = set()
+        self._held_frames: dict[tuple[str, str], list] = {}
         self._connections: list[MemoryConnection] = []
         self._tasks: set[asyncio.Task] = set()
 
@@ -44,6 +45,29 @@
         """Undo every cut."""
         self._cuts.clear()
 
+    def hold(self, source: str, target: str) -> None:
+        """Hold up the frames of one direction until they are released."""
+        self._held_frames[source, target] = []
+
+    def release(self, source: str, target: str) -> None:
+        """Deliver the frames that were held up, in their order."""
+        for connection, encoded in self._held_frames.pop((source, target)):
+            connection.put(encoded)
+
+    def deliver(
+        self,
+        source: str,
+        target: str,
+        connection: 'MemoryConnection',
+        encoded: bytes,
+    ) -> None:
+        """Hand a frame that arrives to its connection, or hold it up."""
+        held_frames = self._held_frames.get((source, target))
+        if held_frames is not None:
+            held_frames.append((connection, encoded))
+        elif not self.is_cut(source, target):
+            connection.put(encoded)
+
     def silence(self, node_id: str) -> None:
         """Drop all frames on a node's open connections, not on new ones."""
         for connection in self._connections:
@@ -117,8 +141,11 @@
         loop.call_at(arrival_at, self._arrive, encoded)
 
     def _arrive(self, encoded: bytes) -> None:
-        if not self._hub.is_cut(self.source, self.target):
-            self.peer._incoming.put_nowait(encoded)
+        self._hub.deliver(self.source, self.target, self.peer, encoded)
+
+    def put(self, encoded: bytes) -> None:
+        """Add a frame that has arrived at this end."""
+        self._incoming.put_nowait(encoded)
 
     async def receive(self) -> framing.Frame:
         """Return the next frame."""
--- a/packages/operators/src/apricotthread/operators/application.py
+++ b/packages/operators/src/apricotthread/operators/application.py
@@ -150,7 +150,7 @@
                     command_id=body.command_id, result=result, changes=changes
                 )
             )
-        return await self._propose(command, changes)
+        return await self._propose(request, command, changes)
 
     async def _mark_data_centre(
         self, request: requests.Request
@@ -173,13 +173,15 @@
             force=body.force,
         )
         try:
-            return await self._propose(command, [])
+            return await self._propose(request, command, [])
         except errors.ApricotError as error:
+            # Any later order about the data centre is newer than the mark.
+            base_index = self._raft.applied_index
             is_own = name == self._system.own.data_centre
-            if not (body.out and is_own):
+            if not (body.out and is_own) or await request.is_disconnected():
                 raise
             logs.log_fault('take_out_without_majority', error)
-        await self._marks.set(command)
+        await self._marks.set(proposals.rebase(command, base_index))
         return _answer(
             bodies.OutcomeBody(
                 command_id=body.command_id,
@@ -198,26 +200,33 @@
         origin = self._make_origin(request, body.command_id, body.operator)
         if not body.admit:
             return await self._propose(
-                commands.RemoveVoter(origin=origin, node_id=name), []
+                request, commands.RemoveVoter(origin=origin, node_id=name), []
             )
         disk_id = await self._raft.voters.fetch_disk_id(name)
         command = commands.AdmitVoter(
             origin=origin, node_id=name, disk_id=disk_id
         )
-        return await self._propose(command, [])
+        return await self._propose(request, command, [])
 
     async def _propose(
         self,
+        request: requests.Request,
         command: commands.AnyCommand,
         changes: list[tables.RowChange],
     ) -> responses.Response:
-        """Propose a command and answer with its result.
+        """Propose a command while its caller waits; answer with its result.
 
         The answer lists the nodes in which the result is in force.
         """
+
+        async def is_caller_waiting() -> bool:
+            return not await request.is_disconnected()
+
         try:
-            result = await self._proposer.propose(
-                command, timeout_s=PROPOSE_TIMEOUT_S
+            result = await self._proposer.propose_while_wanted(
+                command,
+                is_caller_waiting=is_caller_waiting,
+                timeout_s=PROPOSE_TIMEOUT_S,
             )
         except errors.ApricotError as error:
             logs.log_fault(
--- a/tests/controlworld.py
+++ b/tests/controlworld.py
@@ -294,16 +294,16 @@
         *,
         out: bool,
         at: str | None = None,
-        waits: bool = True,
+        waits_s: float = float('inf'),
     ) -> None:
         """Take a data centre out or bring it back, at one node.
 
-        The caller has left by the time at which the node asks unless it
-        `waits`.
+        The caller leaves after `waits_s`.
         """
+        leaves_at = self.env.timer.now() + waits_s
 
         async def is_caller_waiting():
-            return waits
+            return self.env.timer.now() < leaves_at
 
         node = self.node_by_id[at or sorted(self.node_by_id)[0]]
         await node.service.mark_data_centre(
@@ -313,6 +313,11 @@
             is_caller_waiting=is_caller_waiting,
         )
 
+    def cut_off(self, node_id: str) -> None:
+        """Cut a node off from all others."""
+        for other in self.address_by_id:
+            self.fake_network.cut_both(node_id, other)
+
     async def read(self) -> int:
         """Return the version that the nodes answer; all must agree."""
         answers = set()
--- a/tests/test_lost_disks.py
+++ b/tests/test_lost_disks.py
@@ -172,8 +172,7 @@
     async def scenario(world):
         await world.mark('dc2', out=True)
         cut_off, other = (n for n in world.seed_ids if n != world.leader())
-        for node_id in world.address_by_id:
-            world.fake_network.cut_both(cut_off, node_id)
+        world.cut_off(cut_off)
         late = asyncio.create_task(world.mark('dc1', out=True, at=cut_off))
         await world.env.timer.sleep(1.0)
         await world.mark('dc1', out=True, at=other)
@@ -201,7 +200,7 @@
         await world.mark('dc1', out=True)
         for node_id in world.seed_ids:
             with pytest.raises(errors.ApricotError) as caught:
-                await world.mark('dc1', out=False, at=node_id, waits=False)
+                await world.mark('dc1', out=False, at=node_id, waits_s=0.0)
             assert caught.value.code is errors.ErrorCode.NO_QUORUM
         content = world.node_by_id[world.leader()].raft.state.content
         assert content.taken_out == ['dc1']
