Accept an order at a node that is behind with its first repeat

What callers saw: an order at a control node that had not applied the last change of the same mark was refused with 503 (503 once a second for the one the test plays) until the node had caught up.

Cause: after a conflict the node proposed the order again based on its own version, which was still too old.

Change: it is based on the version that the conflict names, which is agreed; the node has asked again by then whether its caller waits.

The test failed before ("the mark was changed meanwhile").

--- a/packages/daemon/src/apricotthread/daemon/controlservice.py
+++ b/packages/daemon/src/apricotthread/daemon/controlservice.py
@@ -178,9 +178,9 @@
                 message=f'there is no data centre {data_centre!r}',
             )
         deadline = self._env.timer.now() + CALLER_WAIT_S
-        base_index = 0
+        base_version = base_index = 0
         while True:
-            base_version = self._raft.state.version
+            base_version = max(base_version, self._raft.state.version)
             base_index = max(base_index, self._raft.applied_index)
             why_late = await self._find_why_late(deadline, is_caller_waiting)
             if why_late:
@@ -209,6 +209,8 @@
             )
             if result.accepted:
                 return
+            # The leader may have agreed on more than this node has applied.
+            base_version = result.version
             if result.may_be_superseded:
                 base_index = result.rebase_index
         logs.log_event(
--- a/tests/test_superseded_orders.py
+++ b/tests/test_superseded_orders.py
@@ -160,6 +160,29 @@
     run_world(scenario)
 
 
+def test_an_order_at_a_node_that_is_behind_is_accepted_at_once(run_world):
+    """Guards against refusals by a node that has just come back.
+
+    Its caller waits, so its order is the newest.
+    """
+
+    async def scenario(world):
+        at = pick_node(world, 'follower')
+        leader = pick_node(world, 'leader')
+        for out in (True, False):
+            world.fake_network.cut(leader, at)
+            await world.mark(DATA_CENTRE, out=out, at=leader)
+            await world.mark(DATA_CENTRE, out=out, at=leader)
+            world.fake_network.heal()
+            started_at = world.env.timer.now()
+            await world.mark(DATA_CENTRE, out=not out, at=at)
+            assert world.env.timer.now() - started_at < 0.5
+            content = world.node_by_id[leader].raft.state.content
+            assert content.taken_out == ([] if out else [DATA_CENTRE])
+
+    run_world(scenario)
+
+
 async def post(node, path, body, *, waits_s=CALLER_WAITS_S):
     """Send a command to a node's operator port; the caller may leave.
 
