Have the stand-in deployment wait until its entries take connections

Cause: a deployment counted as started once its processes were. By its log the entry had the table in force 0.3 s after its start and had not opened its ports when the test sent its first request, so wait_until got an exception in place of "not yet". Ruled out: an entry that ended (no such line, and it went on to log its share).

Change: start() returns once each entry takes connections, within the 30 s of wait_until.

--- a/tests/platformstandin.py
+++ b/tests/platformstandin.py
@@ -539,9 +539,20 @@
         return [*DAEMON, '--settings', str(path)]
 
     async def start(self):
-        """Start all nodes."""
+        """Start all nodes; return once the entries take connections."""
         for host in (*self.control_hosts, *self.entries):
             await self.start_node(host)
+        for host in self.entries:
+            await self.wait_until(lambda host=host: self._listens(host))
+
+    async def _listens(self, host):
+        """Whether an entry takes connections of callers."""
+        try:
+            _, writer = await asyncio.open_connection(host, self.caller_port)
+        except OSError:
+            return False
+        writer.close()
+        return True
 
     async def add_worker(self, **values):
         """Start a worker."""
