Split the tests of superseded orders by the port that takes them

Control nodes of the fleet, and commands of operators, each in a file of its own. The two worlds of control nodes start the same way.

--- a/bench/proofs.py
+++ b/bench/proofs.py
@@ -34,7 +34,7 @@
     test: str
 
 
-SUPERSEDED = 'tests/test_superseded_orders.py::test_{}'
+SUPERSEDED = 'tests/test_superseded_{}.py::test_{}'
 
 REMOVALS = (
     Removal(
@@ -43,7 +43,8 @@
         code='return newest_index > origin.base_index',
         instead='return False',
         test=SUPERSEDED.format(
-            'a_proposal_that_the_network_held_up_does_not_undo_a_newer_order'
+            'orders',
+            'a_proposal_that_the_network_held_up_does_not_undo_a_newer_order',
         ),
     ),
     Removal(
@@ -52,7 +53,8 @@
         code='self._index_by_subject.get(subject, self._snapshot_index)',
         instead='self._index_by_subject.get(subject, 0)',
         test=SUPERSEDED.format(
-            'a_local_take_out_does_not_undo_a_newer_bring_back[True]'
+            'commands',
+            'a_local_take_out_does_not_undo_a_newer_bring_back[True]',
         ),
     ),
     Removal(
@@ -61,7 +63,7 @@
         code='if is_caller_waiting and not await is_caller_waiting():',
         instead='if False:',
         test=SUPERSEDED.format(
-            'an_order_is_not_repeated_once_its_caller_has_left'
+            'orders', 'an_order_is_not_repeated_once_its_caller_has_left'
         ),
     ),
     Removal(
--- a/tests/controlworld.py
+++ b/tests/controlworld.py
@@ -24,6 +24,7 @@
 from apricotthread.daemon import controlservice
 from apricotthread.fakes import disks
 from apricotthread.fakes import networks
+from apricotthread.fakes import virtualclock
 from apricotthread.nodes import discovery
 from apricotthread.nodes import links
 from apricotthread.nodes import membership
@@ -338,6 +339,21 @@
         return 0
 
 
+def run(env, scenario, *, nodes=8, has_started=True):
+    """Run a scenario on control nodes, which have started if it says so."""
+
+    async def main():
+        world = ControlWorld(env=env, nodes=nodes)
+        if has_started:
+            await world.start_first()
+        try:
+            return await scenario(world)
+        finally:
+            await world.stop_all()
+
+    return virtualclock.run(main())
+
+
 def make_document(version: int) -> bytes:
     """Return a table as the operator sends it."""
     return msgspec.json.encode({'version': version, 'routes': []})
--- a/tests/test_lost_disks.py
+++ b/tests/test_lost_disks.py
@@ -1,13 +1,13 @@
 """What was acknowledged outlives two lost disks and a loss of power."""
 
 import asyncio
+import functools
 import random
 
 import pytest
 
 from apricotthread.base import errors
 from apricotthread.control import replica
-from apricotthread.fakes import virtualclock
 from tests import controlworld
 
 DELAYS_S = (0.0, 0.006, 0.4)  # from a change to the loss of power
@@ -17,19 +17,7 @@
 def run_world(env):
     """Return a function that runs a scenario on started control nodes."""
 
-    def run(scenario, *, nodes=8, has_started=True):
-        async def main():
-            world = controlworld.ControlWorld(env=env, nodes=nodes)
-            if has_started:
-                await world.start_first()
-            try:
-                return await scenario(world)
-            finally:
-                await world.stop_all()
-
-        return virtualclock.run(main())
-
-    return run
+    return functools.partial(controlworld.run, env)
 
 
 async def lose_disks(world, lost):
