--- a/bench/proofs.py
+++ b/bench/proofs.py
@@ -39,7 +39,7 @@
 REMOVALS = (
     Removal(
         mechanism='the leader refuses an order that a newer one replaced',
-        module='control/replica.py',
+        module='control/orders.py',
         code='return newest_index > origin.base_index',
         instead='return False',
         test=SUPERSEDED.format(
--- a/packages/control/src/apricotthread/control/orders.py
+++ b/packages/control/src/apricotthread/control/orders.py
@@ -4,6 +4,8 @@
 tell it apart from older orders that are still on their way.
 """
 
+import collections.abc
+
 from apricotthread.control import commands
 
 
@@ -28,15 +30,30 @@
         for subject in subjects_of(command):
             self._index_by_subject[subject] = index
 
-    def find_newest(self, command: commands.AnyCommand) -> int:
-        """Return the index of the newest order about the same subjects."""
-        return max(
-            (
-                self._index_by_subject.get(subject, self._snapshot_index)
-                for subject in subjects_of(command)
-            ),
-            default=0,
+    def may_be_superseded(
+        self,
+        order: commands.AnyCommand,
+        unapplied: collections.abc.Iterable[tuple[int, commands.AnyCommand]],
+    ) -> bool:
+        """Whether there is an order about the same after the base index.
+
+        `unapplied` are the commands in the log that are not applied yet, with
+        their indexes. An order that is among them is no newer one itself.
+        """
+        origin = order.origin
+        if origin.base_index is None:
+            return False
+        subjects = subjects_of(order)
+        newest_index = max(
+            self._index_by_subject.get(subject, self._snapshot_index)
+            for subject in subjects
         )
+        for index, logged in unapplied:
+            if subjects & subjects_of(logged):
+                if logged.origin.command_id == origin.command_id:
+                    return False
+                newest_index = index
+        return newest_index > origin.base_index
 
 
 def subjects_of(command: commands.AnyCommand) -> frozenset[str]:
--- a/packages/control/src/apricotthread/control/replica.py
+++ b/packages/control/src/apricotthread/control/replica.py
@@ -454,30 +454,26 @@
         return future
 
     def _may_be_superseded(self, order: commands.AnyCommand) -> bool:
-        """Whether the log has an order about the same after its base index.
+        """Whether the log may have a newer order about the same.
 
         This is decided before the order is logged: replicas of an older
         release apply what is logged without asking. An order that is
         repeated gets its first result.
         """
-        subjects = orders.subjects_of(order)
-        if not subjects:
-            return False
-        origin = order.origin
-        if origin.base_index is None or (
-            origin.command_id in self.state.content.result_by_command_id
+        if not orders.subjects_of(order) or (
+            order.origin.command_id in self.state.content.result_by_command_id
         ):
             return False
-        newest_index = self._order_positions.find_newest(order)
-        for index in range(self.applied_index + 1, self.store.last_index + 1):
-            logged = commands.decode_command(
-                self.store.entry_at(index).payload
+        unapplied = (
+            (
+                index,
+                commands.decode_command(self.store.entry_at(index).payload),
+            )
+            for index in range(
+                self.applied_index + 1, self.store.last_index + 1
             )
-            if subjects & orders.subjects_of(logged):
-                if logged.origin.command_id == origin.command_id:
-                    return False
-                newest_index = index
-        return newest_index > origin.base_index
+        )
+        return self._order_positions.may_be_superseded(order, unapplied)
 
     def _refuse_superseded(
         self, order: commands.AnyCommand
--- a/packages/daemon/src/apricotthread/daemon/controlservice.py
+++ b/packages/daemon/src/apricotthread/daemon/controlservice.py
@@ -192,20 +192,8 @@
                 out=out,
                 force=True,
             )
-            result = await self._proposer.propose(
-                proposals.rebase(command, base_index),
-                timeout_s=PROPOSE_TIMEOUT_S,
-                is_caller_waiting=is_caller_waiting,
-            )
-            logs.log_event(
-                'data_centre_marked',
-                data_centre=data_centre,
-                out=out,
-                accepted=result.accepted,
-                source=source,
-                base_version=base_version,
-                base_index=base_index,
-                version=result.version,
+            result = await self._propose_mark(
+                proposals.rebase(command, base_index), is_caller_waiting
             )
             if result.accepted:
                 return
@@ -227,6 +215,28 @@
             retry_after_s=MARK_RETRY_S,
         )
 
+    async def _propose_mark(
+        self,
+        command: commands.MarkDataCentre,
+        is_caller_waiting: proposals.CallerCheck,
+    ) -> commands.Result:
+        result = await self._proposer.propose(
+            command,
+            timeout_s=PROPOSE_TIMEOUT_S,
+            is_caller_waiting=is_caller_waiting,
+        )
+        logs.log_event(
+            'data_centre_marked',
+            data_centre=command.data_centre,
+            out=command.out,
+            accepted=result.accepted,
+            source=command.origin.source,
+            base_version=command.base_version,
+            base_index=command.origin.base_index,
+            version=result.version,
+        )
+        return result
+
     async def _find_why_late(
         self, deadline: float, is_caller_waiting: proposals.CallerCheck
     ) -> str:
